Design of the processes on the users' platform, and the whole path, thin

Cause: the product ran against its own stand-ins only; the milestone is the users' platform. What was done: core types of a site (configuration, endpoint registry, replicated state, roll-outs, currency of an entry's state), an HTTP stack on Boost.Beast with visible connections, framed links with a binary codec between own processes, the translation in platform/, two roles and the deploy file. Ruled out: cpprestsdk for this path (it sends a POST again by itself and does not show connections); leases counted at the leader (a proof that the entry asks for needs no bookkeeping there). Names from any control VM count until a leader has spoken.

--- a/app/main/main.cpp
+++ b/app/main/main.cpp
@@ -3,6 +3,8 @@
 #include "app/commands.h"
 #include "app/serve.h"
 #include "app/settings.h"
+#include "app/site_process.h"
+#include "platform/dialect.h"
 
 #include <fmt/format.h>
 #include <string>
@@ -19,5 +21,12 @@
     }
     if (words == std::vector<std::string>{"serve"})
         return runServe();
+    if (words == std::vector<std::string>{"site"}) {
+        const Result<SiteSettings> settings = siteSettings();
+        if (settings)
+            return runSite<fireflyroute::platform::Dialect>(settings.value());
+        fmt::print(stderr, "fireflyroute: {}\n", settings.error().detail);
+        return kExitUsage;
+    }
     return runCommand(words);
 }
--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -55,7 +55,8 @@
 
 bool isOurs(const gflags::CommandLineFlagInfo &flag)
 {
-    return flag.filename.find("app/settings.cpp") != std::string::npos;
+    return flag.filename.find("app/settings.cpp") != std::string::npos
+           || flag.filename.find("app/site_settings.cpp") != std::string::npos;
 }
 
 void applyEnvironment()
--- /dev/null
+++ b/app/signals.cpp
@@ -0,0 +1,78 @@
+// Waiting for signals, and looking at the settings file.
+
+#include "app/signals.h"
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace fireflyroute::app {
+
+namespace {
+
+// The platform has no way to tell of a changed file, so it is looked at.
+constexpr std::chrono::milliseconds kWatchPeriod{1000};
+
+} // namespace
+
+ProcessSignals::ProcessSignals(boost::asio::io_context &io, StructuredLog &log,
+                               std::function<void(const SiteSettings &)> reload,
+                               std::function<void()> stop)
+    : log_(log)
+    , signals_(io, SIGTERM, SIGINT, SIGHUP)
+    , timer_(io)
+    , reload_(std::move(reload))
+    , stop_(std::move(stop))
+    , known_(readFile())
+{
+    awaitSignal();
+    watchFile();
+}
+
+void ProcessSignals::awaitSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            reloadSettings("signal");
+        } else if (!stopping_) {
+            stopping_ = true;
+            LogLine(log_, LogKind::Process).add("event", "stopping");
+            stop_();
+        }
+        awaitSignal();
+    });
+}
+
+void ProcessSignals::watchFile()
+{
+    timer_.expires_after(kWatchPeriod);
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        if (readFile() != known_)
+            reloadSettings("file");
+        watchFile();
+    });
+}
+
+void ProcessSignals::reloadSettings(std::string_view cause)
+{
+    known_ = readFile();
+    const Result<SiteSettings> settings = reloadSiteSettings();
+    LogLine(log_, LogKind::Process)
+            .add("event", settings ? "reload" : "reload_refused")
+            .add("cause", settings ? cause : std::string_view(settings.error().detail));
+    if (settings)
+        reload_(settings.value());
+}
+
+std::string ProcessSignals::readFile()
+{
+    std::ifstream file(settingsFile());
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+} // namespace fireflyroute::app
--- a/app/system_clock.h
+++ b/app/system_clock.h
@@ -5,6 +5,8 @@
 
 #include "core/clock.h"
 
+#include <ctime>
+
 namespace fireflyroute::app {
 
 class SystemClock
@@ -21,6 +23,23 @@
 
 static_assert(core::Clock<SystemClock>);
 
+// A clock that goes on while the VM is suspended, so that a lease ends during a suspension too.
+class BootClock
+{
+public:
+    [[nodiscard]] core::Instant now() const
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return core::Instant(std::chrono::seconds(time.tv_sec)
+                             + std::chrono::nanoseconds(time.tv_nsec));
+    }
+
+    [[nodiscard]] core::WallTime wallNow() const { return SystemClock().wallNow(); }
+};
+
+static_assert(core::Clock<BootClock>);
+
 } // namespace fireflyroute::app
 
 #endif
--- /dev/null
+++ b/app/traffic_plane.cpp
@@ -0,0 +1,210 @@
+// State shared by the requests of an entry.
+
+#include "app/traffic_plane.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace fireflyroute::app {
+
+namespace {
+
+// Weight of the newest answer in the usual latency of a route.
+constexpr double kLatencyMemory = 0.05;
+
+// An answer that takes so many times the usual counts as slow, if it is slower than kSlowFloor too.
+constexpr double kSlowFactor = 4;
+constexpr std::chrono::milliseconds kSlowFloor{150};
+
+// A silent endpoint that answered so recently is used all the same: only its way to the control VMs
+// may be cut.
+constexpr std::chrono::seconds kRecentAnswer{3};
+
+core::Incarnation processLife(const BootClock &clock)
+{
+    return core::Incarnation(
+            static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
+}
+
+} // namespace
+
+TrafficPlane::TrafficPlane(boost::asio::io_context &ioContext, const SiteSettings &siteSettings,
+                           StructuredLog &structuredLog)
+    : io(ioContext)
+    , settings(siteSettings)
+    , log(structuredLog)
+    , view(std::make_shared<const core::SiteView>())
+    , picker(siteSettings.dataCentre, siteSettings.regions)
+    , pool(ioContext)
+    , rng(std::random_device()())
+{}
+
+void TrafficPlane::setView(std::shared_ptr<const core::SiteView> next)
+{
+    std::set<core::EndpointId> known;
+    for (const auto &[service, endpoints] : next->endpoints) {
+        for (const core::EndpointRecord &endpoint : endpoints)
+            known.insert(endpoint.id);
+    }
+    for (const auto &[service, endpoints] : view->endpoints) {
+        for (const core::EndpointRecord &endpoint : endpoints) {
+            const bool isGone = !known.contains(endpoint.id);
+            if (isGone) {
+                pool.drop(endpoint.id);
+                monitor.forget(endpoint.id);
+            }
+        }
+    }
+    view = std::move(next);
+}
+
+std::vector<const core::EndpointRecord *>
+TrafficPlane::candidates(const core::ServiceName &service, const core::VersionGate &gate,
+                         const std::set<core::EndpointId> &excluded, core::Instant now) const
+{
+    std::vector<const core::EndpointRecord *> usable;
+    std::vector<const core::EndpointRecord *> doubtful;
+    const auto found = view->endpoints.find(service);
+    if (found == view->endpoints.end())
+        return usable;
+    for (const core::EndpointRecord &endpoint : found->second) {
+        const bool isAllowed = endpoint.state == core::EndpointState::Ready
+                               && gate.admits(endpoint.version) && !excluded.contains(endpoint.id);
+        if (!isAllowed)
+            continue;
+        const std::optional<core::Instant> lastGood = monitor.lastGood(endpoint.id);
+        const bool isSilent = endpoint.silent && !(lastGood && now - *lastGood < kRecentAnswer);
+        if (!isSilent && monitor.isUsable(endpoint.id, now))
+            usable.push_back(&endpoint);
+        else if (!isSilent)
+            doubtful.push_back(&endpoint);
+    }
+    return usable.empty() ? doubtful : usable;
+}
+
+core::RetryBudget &TrafficPlane::budget(const core::ServiceName &service)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end())
+        return found->second;
+    return budgets_
+            .emplace(service, core::RetryBudget(settings.vm, processLife(clock),
+                                                settings.retryPermille))
+            .first->second;
+}
+
+void TrafficPlane::noteOutcome(const core::EndpointRecord &endpoint, const std::string &route,
+                               bool good, core::Duration latency)
+{
+    core::OutcomeCount &count = outcomes_[{endpoint.service, endpoint.version, route}];
+    if (!good) {
+        ++count.bad;
+        return;
+    }
+    const std::chrono::duration<double, std::milli> taken = latency;
+    const auto [usual, isNew] = usualMs_.try_emplace(route, taken.count());
+    const bool isSlow =
+            latency > kSlowFloor && taken.count() > kSlowFactor * usual->second && !isNew;
+    if (isSlow)
+        ++count.slow;
+    else
+        ++count.good;
+    const auto rollout = view->rollouts.find(endpoint.service);
+    const bool isOnTrial = rollout != view->rollouts.end() && !rollout->second.isFinal()
+                           && rollout->second.target == endpoint.version;
+    if (!isOnTrial)
+        usual->second += kLatencyMemory * (taken.count() - usual->second);
+}
+
+void TrafficPlane::noteRunning(const core::EndpointRecord &endpoint, const std::string &route,
+                               int change)
+{
+    core::OutcomeCount &count = outcomes_[{endpoint.service, endpoint.version, route}];
+    count.outstanding = static_cast<std::uint32_t>(
+            std::max(0, static_cast<int>(count.outstanding) + change));
+}
+
+std::optional<core::VersionName> TrafficPlane::pinned(const core::SessionId &session,
+                                                      core::Instant now) const
+{
+    const auto found = pins_.find(session);
+    const bool isRecent =
+            found != pins_.end() && now - found->second.at < settings.sessionTtl;
+    return isRecent ? std::optional(found->second.version) : std::nullopt;
+}
+
+void TrafficPlane::pin(const core::SessionId &session, const core::VersionName &version,
+                       core::Instant now)
+{
+    if (!session.empty())
+        pins_[session] = Pin{version, now};
+}
+
+core::Duration TrafficPlane::usualLatency(const std::string &route) const
+{
+    const auto found = usualMs_.find(route);
+    if (found == usualMs_.end())
+        return core::Duration::zero();
+    return std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double, std::milli>(found->second));
+}
+
+core::OutcomeReport TrafficPlane::takeOutcomes()
+{
+    core::OutcomeReport report;
+    for (auto it = outcomes_.begin(); it != outcomes_.end();) {
+        core::OutcomeCount &count = it->second;
+        const bool isEmpty =
+                count.good + count.bad + count.slow + count.outstanding == 0;
+        if (isEmpty) {
+            it = outcomes_.erase(it);
+            continue;
+        }
+        std::tie(count.service, count.version, count.route) = it->first;
+        report.counts.push_back(count);
+        count.good = 0;
+        count.bad = 0;
+        count.slow = 0;
+        ++it;
+    }
+    return report;
+}
+
+void TrafficPlane::tend()
+{
+    pool.expire();
+    const core::Instant now = clock.now();
+    std::erase_if(pins_, [&](const auto &pin) {
+        return now - pin.second.at >= settings.sessionTtl;
+    });
+}
+
+std::string TrafficPlane::metrics() const
+{
+    std::string text;
+    const auto counter = [&](std::string_view name, std::uint64_t value) {
+        text += fmt::format("fireflyroute_entry_{} {}\n", name, value);
+    };
+    counter("requests_total", counts.requests);
+    counter("answered_total", counts.answered);
+    counter("refused_total", counts.refused);
+    counter("broken_total", counts.broken);
+    counter("left_total", counts.left);
+    counter("attempts_total", counts.attempts);
+    counter("retries_total", counts.retries);
+    counter("resumed_total", counts.resumed);
+    counter("escalated_total", counts.escalated);
+    counter("connections_opened_total", pool.opened());
+    counter("connections_reused_total", pool.reused());
+    counter("revision", view->revision);
+    for (const auto &[refusal, count] : refusals)
+        text += fmt::format("fireflyroute_entry_refusals_total{{reason=\"{}\"}} {}\n",
+                            core::nameOf(refusal), count);
+    for (const auto &[route, ms] : usualMs_)
+        text += fmt::format("fireflyroute_entry_usual_latency_ms{{route=\"{}\"}} {:.1f}\n", route,
+                            ms);
+    return text;
+}
+
+} // namespace fireflyroute::app
--- /dev/null
+++ b/app/traffic_plane.h
@@ -0,0 +1,112 @@
+// What the requests on the traffic thread of an entry share: the view of the site, what was seen of
+// endpoints, connections, budgets and counts. The control thread reaches it by posting.
+
+#ifndef FIREFLYROUTE_APP_TRAFFIC_PLANE_H
+#define FIREFLYROUTE_APP_TRAFFIC_PLANE_H
+
+#include "app/endpoint_pool.h"
+#include "app/site_settings.h"
+#include "app/structured_log.h"
+#include "core/endpoint_monitor.h"
+#include "core/endpoint_pick.h"
+#include "core/model_choice.h"
+#include "core/retry_budget.h"
+#include "core/site_messages.h"
+#include "core/site_view.h"
+#include "core/version_gate.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+namespace fireflyroute::app {
+
+struct TrafficCounts
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0; // by an endpoint, whole
+    std::uint64_t refused = 0;
+    std::uint64_t broken = 0; // begun and not finished
+    std::uint64_t left = 0; // the caller went away first
+    std::uint64_t attempts = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t resumed = 0; // streams that went on elsewhere
+    std::uint64_t escalated = 0; // answers dropped for a larger model's
+};
+
+class TrafficPlane
+{
+public:
+    TrafficPlane(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log);
+
+    // Takes over a new view; forgets endpoints that are gone.
+    void setView(std::shared_ptr<const core::SiteView> view);
+
+    // Whether the entry may rely on its configuration now.
+    [[nodiscard]] bool isCurrent(core::Instant now) const { return now < currentUntil; }
+
+    // The endpoints that may take this sending of a request.
+    [[nodiscard]] std::vector<const core::EndpointRecord *>
+    candidates(const core::ServiceName &service, const core::VersionGate &gate,
+               const std::set<core::EndpointId> &excluded, core::Instant now) const;
+
+    [[nodiscard]] core::RetryBudget &budget(const core::ServiceName &service);
+
+    // Counts an outcome for roll-outs, and the requests that run.
+    void noteOutcome(const core::EndpointRecord &endpoint, const std::string &route, bool good,
+                     core::Duration latency);
+    void noteRunning(const core::EndpointRecord &endpoint, const std::string &route, int change);
+
+    // The version that ran a session's last request, if that is recent.
+    [[nodiscard]] std::optional<core::VersionName> pinned(const core::SessionId &session,
+                                                          core::Instant now) const;
+    void pin(const core::SessionId &session, const core::VersionName &version, core::Instant now);
+
+    // Usual time to the first part of an answer on a route.
+    [[nodiscard]] core::Duration usualLatency(const std::string &route) const;
+
+    // The counts since the last call.
+    [[nodiscard]] core::OutcomeReport takeOutcomes();
+
+    void tend(); // once a second: expires connections and sessions
+
+    [[nodiscard]] std::string metrics() const;
+
+    boost::asio::io_context &io;
+    const SiteSettings settings;
+    StructuredLog &log;
+    BootClock clock;
+    std::shared_ptr<const core::SiteView> view; // never null
+    core::Instant currentUntil; // the entry may rely on its view until then
+    bool leaving = false; // the process was told to stop
+    core::EndpointMonitor monitor;
+    core::EndpointPicker picker;
+    core::ModelChooser models;
+    EndpointPool pool;
+    TrafficCounts counts;
+    std::map<core::Refusal, std::uint64_t> refusals;
+    std::minstd_rand rng;
+
+private:
+    using OutcomeKey = std::tuple<core::ServiceName, core::VersionName, std::string>;
+
+    struct Pin
+    {
+        core::VersionName version;
+        core::Instant at;
+    };
+
+    std::map<core::ServiceName, core::RetryBudget> budgets_;
+    std::map<OutcomeKey, core::OutcomeCount> outcomes_;
+    std::unordered_map<core::SessionId, Pin> pins_;
+    std::map<std::string, double> usualMs_; // moving average by route
+};
+
+} // namespace fireflyroute::app
+
+#endif
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -11,6 +11,9 @@
 
 # One ctest entry per testing/*_test.cpp; benchmarks and fuzz targets are built and not run by ctest.
 function(fireflyroute_tests PREFIX)
+    if(NOT FIREFLYROUTE_TESTS)
+        return()
+    endif()
     file(GLOB TESTS CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/testing/*_test.cpp)
     foreach(SOURCE ${TESTS})
         get_filename_component(STEM ${SOURCE} NAME_WE)
--- /dev/null
+++ b/core/endpoint_monitor.cpp
@@ -0,0 +1,128 @@
+// Averages and rests.
+
+#include "core/endpoint_monitor.h"
+
+#include <algorithm>
+
+namespace fireflyroute::core {
+
+namespace {
+
+// An endpoint that refused for want of room is left alone for so long.
+constexpr std::chrono::milliseconds kFullPause{100};
+
+// Above this many failures in a row the rest is as long as it gets.
+constexpr unsigned kMaxDoublings = 6;
+
+// One answer far off the others must not make an endpoint look slow for long.
+constexpr double kMaxSample = 8;
+
+} // namespace
+
+void EndpointMonitor::sent(const EndpointId &id, std::uint32_t tokens)
+{
+    Seen &seen = seen_[id];
+    ++seen.outstanding;
+    seen.tokens += tokens;
+}
+
+void EndpointMonitor::ended(const EndpointId &id, std::uint32_t tokens)
+{
+    const auto found = seen_.find(id);
+    if (found == seen_.end())
+        return;
+    Seen &seen = found->second;
+    seen.outstanding -= std::min(seen.outstanding, 1U);
+    seen.tokens -= std::min<std::uint64_t>(seen.tokens, tokens);
+}
+
+void EndpointMonitor::answered(const EndpointId &id, Duration latency, Duration expected,
+                               Instant now)
+{
+    Seen &seen = seen_[id];
+    seen.failedInRow = 0;
+    seen.restsUntil.reset();
+    seen.lastGood = now;
+    seen.failures *= 1 - policy_.memory;
+    if (expected <= Duration::zero())
+        return;
+    const double ratio = static_cast<double>(latency.count())
+                         / static_cast<double>(std::max<Duration::rep>(expected.count(), 1));
+    seen.slowness += policy_.memory * (std::min(ratio, kMaxSample) - seen.slowness);
+}
+
+void EndpointMonitor::reported(const EndpointId &id, const EndpointLoad &load, Instant now)
+{
+    Seen &seen = seen_[id];
+    seen.load = load;
+    seen.loadAt = now;
+    seen.outstandingThen = seen.outstanding;
+}
+
+void EndpointMonitor::failed(const EndpointId &id, bool severe, Instant now)
+{
+    Seen &seen = seen_[id];
+    ++seen.failedInRow;
+    seen.failures += policy_.memory * (1 - seen.failures);
+    if (severe || seen.failedInRow > 1 || seen.failures > policy_.failureLimit)
+        rest(seen, now);
+}
+
+void EndpointMonitor::rest(Seen &seen, Instant now) const
+{
+    const unsigned doublings = std::min(seen.failedInRow - 1, kMaxDoublings);
+    seen.restsUntil =
+            now + std::min(policy_.firstRest * (1U << doublings), policy_.longestRest);
+}
+
+void EndpointMonitor::wasFull(const EndpointId &id, Instant now)
+{
+    seen_[id].fullUntil = now + kFullPause;
+}
+
+bool EndpointMonitor::isUsable(const EndpointId &id, Instant now) const
+{
+    const auto found = seen_.find(id);
+    if (found == seen_.end())
+        return true;
+    const Seen &seen = found->second;
+    if (seen.fullUntil && now < *seen.fullUntil)
+        return false;
+    if (!seen.restsUntil)
+        return true;
+    // On trial after its rest: one request at a time until one is answered.
+    return now >= *seen.restsUntil && seen.outstanding == 0;
+}
+
+double EndpointMonitor::busy(const EndpointId &id, Instant now) const
+{
+    const auto found = seen_.find(id);
+    if (found == seen_.end())
+        return 0;
+    const Seen &seen = found->second;
+    const double own = seen.outstanding;
+    if (!seen.loadAt || now - *seen.loadAt > policy_.loadLifetime)
+        return own;
+    const double then = seen.outstandingThen;
+    return std::max(own, seen.load.running + seen.load.waiting + own - then);
+}
+
+double EndpointMonitor::slowness(const EndpointId &id) const
+{
+    const auto found = seen_.find(id);
+    return found == seen_.end() ? 1 : found->second.slowness;
+}
+
+std::uint32_t EndpointMonitor::outstanding(const EndpointId &id) const
+{
+    const auto found = seen_.find(id);
+    return found == seen_.end() ? 0 : found->second.outstanding;
+}
+
+std::optional<Instant> EndpointMonitor::lastGood(const EndpointId &id) const
+{
+    const auto found = seen_.find(id);
+    return found == seen_.end() ? std::nullopt : found->second.lastGood;
+}
+
+} // namespace fireflyroute::core
--- /dev/null
+++ b/core/endpoint_monitor.h
@@ -0,0 +1,94 @@
+// What one entry has seen of the endpoints: requests that it has outstanding there, load that they
+// reported, how fast they answer, and failures. It tells which ones may be used and how busy each
+// is.
+//
+//   monitor.sent(id, tokens);
+//   monitor.answered(id, latency, load, now);      // or failed(id, now)
+//   if (monitor.isUsable(id, now)) ...
+//
+// After a failure an endpoint rests; the rest doubles with each failure in a row. When it ends, one
+// request at a time tries the endpoint again.
+
+#ifndef FIREFLYROUTE_CORE_ENDPOINT_MONITOR_H
+#define FIREFLYROUTE_CORE_ENDPOINT_MONITOR_H
+
+#include "core/clock.h"
+#include "core/site_calls.h"
+#include "core/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace fireflyroute::core {
+
+struct MonitorPolicy
+{
+    Duration firstRest = std::chrono::milliseconds(400);
+    Duration longestRest = std::chrono::seconds(5);
+    Duration loadLifetime = std::chrono::milliseconds(1500); // a report counts for so long
+    double failureLimit = 0.5; // share of recent answers that failed, above which it rests
+    double memory = 0.15; // weight of the newest answer in averages
+};
+
+class EndpointMonitor
+{
+public:
+    explicit EndpointMonitor(const MonitorPolicy &policy = {})
+        : policy_(policy)
+    {}
+
+    void sent(const EndpointId &id, std::uint32_t tokens);
+
+    // The request ended there, in whatever way.
+    void ended(const EndpointId &id, std::uint32_t tokens);
+
+    // The first part of a sound answer came. `expected` is what others take for such a request.
+    void answered(const EndpointId &id, Duration latency, Duration expected, Instant now);
+
+    void reported(const EndpointId &id, const EndpointLoad &load, Instant now);
+
+    // A request failed there. Severe: the endpoint did not even accept it.
+    void failed(const EndpointId &id, bool severe, Instant now);
+
+    // It said that it is full.
+    void wasFull(const EndpointId &id, Instant now);
+
+    void forget(const EndpointId &id) { seen_.erase(id); }
+
+    [[nodiscard]] bool isUsable(const EndpointId &id, Instant now) const;
+
+    // Requests that it is believed to work on or keep waiting.
+    [[nodiscard]] double busy(const EndpointId &id, Instant now) const;
+
+    // How many times as long as others it takes, 1 for the usual.
+    [[nodiscard]] double slowness(const EndpointId &id) const;
+
+    [[nodiscard]] std::uint32_t outstanding(const EndpointId &id) const;
+    [[nodiscard]] std::optional<Instant> lastGood(const EndpointId &id) const;
+
+private:
+    struct Seen
+    {
+        std::uint32_t outstanding = 0; // of this entry
+        std::uint64_t tokens = 0; // of those requests
+        EndpointLoad load; // as last reported
+        std::uint32_t outstandingThen = 0; // of this entry when the load was reported
+        std::optional<Instant> loadAt;
+        double slowness = 1;
+        double failures = 0; // moving share of answers that failed
+        unsigned failedInRow = 0;
+        std::optional<Instant> restsUntil;
+        std::optional<Instant> fullUntil;
+        std::optional<Instant> lastGood;
+    };
+
+    void rest(Seen &seen, Instant now) const;
+
+    MonitorPolicy policy_;
+    std::unordered_map<EndpointId, Seen> seen_;
+};
+
+} // namespace fireflyroute::core
+
+#endif
--- /dev/null
+++ b/core/endpoint_pick.cpp
@@ -0,0 +1,111 @@
+// Costs of endpoints.
+
+#include "core/endpoint_pick.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fireflyroute::core {
+
+namespace {
+
+constexpr std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33U;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33U;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33U);
+}
+
+std::uint64_t textHash(const std::string &text)
+{
+    std::uint64_t hash = 0;
+    for (const char c : text)
+        hash = mix(hash ^ static_cast<unsigned char>(c));
+    return hash;
+}
+
+// Tokens of the parts that other requests share, and a hash of them with the model.
+struct SharedPrompt
+{
+    std::uint64_t hash = 0;
+    std::uint64_t tokens = 0;
+};
+
+SharedPrompt sharedPrompt(const PickAsk &ask)
+{
+    SharedPrompt shared;
+    if (!ask.prompt || ask.prompt->size() < 2)
+        return shared;
+    shared.hash = textHash(ask.model.value());
+    for (std::size_t i = 0; i + 1 < ask.prompt->size(); ++i) {
+        shared.hash = mix(shared.hash ^ (*ask.prompt)[i].id);
+        shared.tokens += (*ask.prompt)[i].tokens;
+    }
+    return shared;
+}
+
+} // namespace
+
+double EndpointPicker::distance(const DataCentreId &other) const
+{
+    if (other == own_)
+        return 0;
+    const auto own = regions_.find(own_);
+    const auto there = regions_.find(other);
+    const bool isSameRegion =
+            own != regions_.end() && there != regions_.end() && own->second == there->second;
+    return isSameRegion ? weights_.otherDataCentre : weights_.otherRegion;
+}
+
+double EndpointPicker::cost(const EndpointRecord &endpoint, const PickAsk &ask,
+                            const EndpointMonitor &monitor, Instant now) const
+{
+    const double slots = std::max<double>(endpoint.slots, 1);
+    const double busy = monitor.busy(endpoint.id, now);
+    const double slowness = monitor.slowness(endpoint.id);
+    double result = distance(endpoint.dataCentre);
+    if (ask.prompt) {
+        result += weights_.perBusyShare * busy / slots;
+        result += weights_.perWaiting * std::max(0.0, busy - slots) / slots * 10;
+    } else {
+        result += ask.workMs * std::max(0.0, busy + 1 - slots) / slots + busy / slots;
+    }
+    result += ask.workMs * std::max(0.0, slowness - 1);
+    if (endpoint.warmupMs > 0)
+        result += weights_.warmup;
+    return result;
+}
+
+const EndpointRecord *
+EndpointPicker::pick(const std::vector<const EndpointRecord *> &candidates, const PickAsk &ask,
+                     const EndpointMonitor &monitor, Instant now) const
+{
+    const SharedPrompt shared = sharedPrompt(ask);
+    const EndpointRecord *owner = nullptr;
+    std::uint64_t highest = 0;
+    if (shared.tokens > 0) {
+        for (const EndpointRecord *candidate : candidates) {
+            const std::uint64_t score = mix(shared.hash ^ textHash(candidate->id.value()));
+            if (!owner || score > highest) {
+                owner = candidate;
+                highest = score;
+            }
+        }
+    }
+    const EndpointRecord *best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (const EndpointRecord *candidate : candidates) {
+        double expected = cost(*candidate, ask, monitor, now);
+        if (owner && candidate != owner)
+            expected += weights_.missPerToken * static_cast<double>(shared.tokens);
+        if (expected < least) {
+            least = expected;
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace fireflyroute::core
--- /dev/null
+++ b/core/event_stream.cpp
@@ -0,0 +1,78 @@
+// Events and their ids.
+
+#include "core/event_stream.h"
+
+#include <charconv>
+
+namespace fireflyroute::core {
+
+namespace {
+
+// The end of the first event in the text: behind its blank line; npos while it is unfinished.
+std::size_t endOfEvent(std::string_view text)
+{
+    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        std::size_t next = at + 1;
+        if (next < text.size() && text[next] == '\r')
+            ++next;
+        if (next < text.size() && text[next] == '\n')
+            return next + 1;
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    constexpr std::string_view kField = "id:";
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = event.find('\n', at);
+        std::string_view line = event.substr(at, end - at);
+        if (line.starts_with(kField)) {
+            line.remove_prefix(kField.size());
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::uint64_t id = 0;
+            const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+            return parsed.ec == std::errc() ? std::optional(id) : std::nullopt;
+        }
+        if (end == std::string_view::npos)
+            break;
+        at = end + 1;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::push(std::string_view bytes)
+{
+    pending_ += bytes;
+    std::vector<StreamEvent> events;
+    std::string_view rest = pending_;
+    for (std::size_t end = endOfEvent(rest); end != std::string_view::npos;
+         end = endOfEvent(rest)) {
+        StreamEvent event;
+        event.bytes = std::string(rest.substr(0, end));
+        event.id = idOf(event.bytes);
+        events.push_back(std::move(event));
+        rest.remove_prefix(end);
+    }
+    pending_ = std::string(rest);
+    return events;
+}
+
+SpliceVerdict StreamSplice::accept(const StreamEvent &event)
+{
+    if (!event.id)
+        return SpliceVerdict::Relay;
+    if (last_ && *event.id <= *last_)
+        return SpliceVerdict::Repeated;
+    if (last_ && *event.id != *last_ + 1)
+        return SpliceVerdict::Gap;
+    last_ = event.id;
+    return SpliceVerdict::Relay;
+}
+
+} // namespace fireflyroute::core
--- a/core/replica.h
+++ b/core/replica.h
@@ -19,10 +19,11 @@
 //     lease this rests on clocks that drift apart less than ReplicaTiming::driftMargin; nothing
 //     else rests on clocks.
 //
-// Life of a group: one VM starts it with newGroup() holding itself as the only voter and commits
-// right after its own sync. Every other VM starts with an empty RecoveredReplica and `seeds`: it
-// asks to join, becomes a learner, catches up, and then becomes a voter by itself. A VM that lost
-// its data folder does the same under a larger Incarnation; its earlier life is removed on the way.
+// Life of a group: its first members start with newGroup() holding all of them as voters, or one VM
+// does so alone. Every other VM starts with an empty RecoveredReplica and `seeds`: it asks to join,
+// becomes a learner, catches up, and then becomes a voter by itself, up to MembershipPolicy. A VM
+// that lost its data folder does the same under a larger Incarnation; its earlier life is removed on
+// the way. A voter that is lost for good gives its place to a spare learner.
 
 #ifndef FIREFLYROUTE_CORE_REPLICA_H
 #define FIREFLYROUTE_CORE_REPLICA_H
@@ -134,6 +135,7 @@
     void receive(const ReplicaMessage &message, const VoteReply &body);
     void receive(const ReplicaMessage &message, const TimeoutNow &body);
     void askToJoin();
+    void relayJoin(const ReplicaMessage &message, const JoinRequest &body);
 
     // Following (replica_follower.cpp).
     [[nodiscard]] bool acceptLeader(const ReplicaMessage &message);
@@ -157,6 +159,8 @@
     void receive(const ReplicaMessage &message, const SnapshotReply &body);
     void receive(const ReplicaMessage &message, const JoinRequest &body);
     void tickLeader();
+    [[nodiscard]] std::optional<ReplicaId> findReplaceable() const;
+    void dropLostLearner();
     void confirmReads();
     void orderTransfer();
     [[nodiscard]] bool isCaughtUp(const ReplicaId &id) const;
--- a/core/replica_campaign.cpp
+++ b/core/replica_campaign.cpp
@@ -98,6 +98,9 @@
 
 void Replica::receive(const ReplicaMessage &message, const PreVoteRequest &body)
 {
+    // A voter that was replaced while it was away doesn't know; its vote request shows it.
+    if (!findMember(membership(), message.from))
+        receive(message, JoinRequest{MemberRole::Voter});
     const bool granted = message.term >= hardState_.term && !refusesVotes()
                          && isUpToDate(body.lastIndex, body.lastTerm);
     ReplicaMessage reply{config_.group, config_.self, message.from, hardState_.term,
@@ -149,4 +152,13 @@
     }
 }
 
+// Seeds may all be followers, or no members any more: the wish goes on to the leader as it came.
+void Replica::relayJoin(const ReplicaMessage &message, const JoinRequest &body)
+{
+    if (!leader_ || *leader_ == message.from)
+        return;
+    ReplicaMessage relayed{config_.group, message.from, *leader_, message.term, body};
+    actions_.emplace_back(SendMessage{std::move(relayed)});
+}
+
 } // namespace fireflyroute::core
--- a/core/replica_config.h
+++ b/core/replica_config.h
@@ -6,6 +6,9 @@
 #include "core/clock.h"
 #include "core/replication_types.h"
 
+#include <optional>
+#include <vector>
+
 namespace fireflyroute::core {
 
 struct ReplicaTiming
@@ -32,6 +35,19 @@
     LogIndex caughtUpLag = 64; // a learner within so many entries of the commit is caught up
 };
 
+// Which members a leader takes in and lets go of by itself.
+struct MembershipPolicy
+{
+    std::size_t maxVoters = 9; // further members that want a vote stay learners, as spares
+    // Copies on voters' disks that an entry needs before it is committed, if there are as many
+    // voters. Above a majority while the group is small, so that an acknowledgement outlives the
+    // loss of minCopies - 1 disks from the start.
+    std::size_t minCopies = 1;
+    // A voter that was silent for so long gives its place to a caught-up spare.
+    std::optional<Duration> replaceVoterAfter;
+    std::optional<Duration> dropLearnerAfter; // a silent learner is forgotten
+};
+
 struct ReplicaConfig
 {
     GroupId group{0};
@@ -40,6 +56,7 @@
     std::vector<VmId> seeds; // the control VMs, asked to let this one join
     ReplicaTiming timing;
     ReplicaLimits limits;
+    MembershipPolicy members;
 };
 
 // State of a group as it stands on disk.
--- a/core/replica_leader.cpp
+++ b/core/replica_leader.cpp
@@ -112,7 +112,8 @@
 void Replica::commitByCounting()
 {
     const LogIndex synced = writes_.durableIndex(log_.lastIndex());
-    const LogIndex index = peers_.quorumMatch(membership(), config_.self, synced);
+    const LogIndex index =
+            peers_.quorumMatch(membership(), config_.self, synced, config_.members.minCopies);
     if (index > commit_ && log_.termAt(index) == hardState_.term)
         advanceCommit(index);
 }
@@ -161,14 +162,50 @@
     sendSnapshotChunk(message.from, *peer);
 }
 
+// The sender asks again until it has its role, so a change that is refused now is tried later.
 void Replica::receive(const ReplicaMessage &message, const JoinRequest &body)
 {
-    if (role_ != ReplicaRole::Leader)
+    if (role_ != ReplicaRole::Leader) {
+        relayJoin(message, body);
         return;
-    const std::optional<MembershipChange> change =
-            planJoin(membership(), message.from, body.role, isCaughtUp(message.from));
+    }
+    const JoinWish wish{message.from, body.role, isCaughtUp(message.from),
+                        config_.members.maxVoters, findReplaceable()};
+    const std::optional<MembershipChange> change = planJoin(membership(), wish);
     if (change)
-        (void)tryChange(*change); // the sender asks again until it has its role
+        (void)tryChange(*change);
+}
+
+// The voter that was silent longest, if it was silent for long enough.
+std::optional<ReplicaId> Replica::findReplaceable() const
+{
+    if (!config_.members.replaceVoterAfter)
+        return std::nullopt;
+    std::optional<ReplicaId> found;
+    Instant heardAt = now_ - *config_.members.replaceVoterAfter;
+    for (const Member &member : membership().members) {
+        const PeerProgress *peer = peers_.find(member.id);
+        if (member.role != MemberRole::Voter || !peer || peer->heardAt > heardAt)
+            continue;
+        heardAt = peer->heardAt;
+        found = member.id;
+    }
+    return found;
+}
+
+void Replica::dropLostLearner()
+{
+    if (!config_.members.dropLearnerAfter)
+        return;
+    for (const Member &member : membership().members) {
+        const PeerProgress *peer = peers_.find(member.id);
+        const bool isLost = member.role == MemberRole::Learner && peer
+                            && now_ - peer->heardAt >= *config_.members.dropLearnerAfter;
+        if (isLost) {
+            (void)tryChange(MembershipChange{ChangeKind::Remove, member.id});
+            return;
+        }
+    }
 }
 
 bool Replica::isCaughtUp(const ReplicaId &id) const
@@ -213,6 +250,7 @@
         return;
     startRound();
     replicate();
+    dropLostLearner();
 }
 
 std::optional<Instant> Replica::leaseUntil(Instant now) const
--- a/core/replica_membership.cpp
+++ b/core/replica_membership.cpp
@@ -96,9 +96,9 @@
     return CoreFailure{CoreError::InvalidArgument, "unknown kind of change"};
 }
 
-std::optional<MembershipChange> planJoin(const Membership &membership, const ReplicaId &id,
-                                         MemberRole wanted, bool caughtUp)
+std::optional<MembershipChange> planJoin(const Membership &membership, const JoinWish &wish)
 {
+    const ReplicaId &id = wish.id;
     const Member *other = findOtherLife(membership, id);
     if (other && other->id.incarnation > id.incarnation)
         return std::nullopt;
@@ -107,10 +107,14 @@
         return MembershipChange{ChangeKind::AddLearner, id};
     if (member->role == MemberRole::Voter)
         return std::nullopt;
-    if (other && (caughtUp || other->role == MemberRole::Learner))
+    if (other && (wish.caughtUp || other->role == MemberRole::Learner))
         return MembershipChange{ChangeKind::Remove, other->id};
-    if (!other && wanted == MemberRole::Voter && caughtUp)
+    if (other || wish.wanted != MemberRole::Voter || !wish.caughtUp)
+        return std::nullopt;
+    if (voterCount(membership) < wish.maxVoters)
         return MembershipChange{ChangeKind::Promote, id};
+    if (wish.replaceable)
+        return MembershipChange{ChangeKind::Remove, *wish.replaceable};
     return std::nullopt;
 }
 
--- a/core/replica_membership.h
+++ b/core/replica_membership.h
@@ -48,11 +48,21 @@
 [[nodiscard]] Result<Membership> applyChange(const Membership &membership,
                                              const MembershipChange &change);
 
-// The next change that brings `id` to `wanted`, or nothing when none is needed or possible yet.
+// A member that asks to join, and what the leader knows of it and of the others.
+struct JoinWish
+{
+    ReplicaId id;
+    MemberRole wanted = MemberRole::Voter;
+    bool caughtUp = false;
+    std::size_t maxVoters = 9; // a learner above that number waits for a place
+    std::optional<ReplicaId> replaceable; // a lost voter whose place may be taken
+};
+
+// The next change that fulfils the wish, or nothing when none is needed or possible yet.
 // An earlier incarnation of the same VM leaves before the new one gets a vote, so that a second
 // loss of the new one can't leave two dead voters behind.
-[[nodiscard]] std::optional<MembershipChange>
-planJoin(const Membership &membership, const ReplicaId &id, MemberRole wanted, bool caughtUp);
+[[nodiscard]] std::optional<MembershipChange> planJoin(const Membership &membership,
+                                                       const JoinWish &wish);
 
 } // namespace fireflyroute::core
 
--- a/core/replica_progress.cpp
+++ b/core/replica_progress.cpp
@@ -12,9 +12,11 @@
 
 namespace {
 
-// The largest value that a majority of the voters has reached. `valueOf` gives a voter's value.
+// The largest value that a majority of the voters has reached, and at least `minVoters` of them if
+// there are so many. `valueOf` gives a voter's value.
 template<typename Value, typename ValueOf>
-Value majorityValue(const Membership &membership, const ValueOf &valueOf)
+Value majorityValue(const Membership &membership, const ValueOf &valueOf,
+                    std::size_t minVoters = 1)
 {
     std::vector<Value> values;
     for (const Member &member : membership.members) {
@@ -24,7 +26,8 @@
     if (values.empty())
         return Value{};
     std::sort(values.begin(), values.end(), std::greater<Value>());
-    return values[quorumSize(membership) - 1];
+    const std::size_t needed = std::max(quorumSize(membership), std::min(minVoters, values.size()));
+    return values[needed - 1];
 }
 
 } // namespace
@@ -117,11 +120,12 @@
 }
 
 LogIndex ProgressTable::quorumMatch(const Membership &membership, const ReplicaId &self,
-                                    LogIndex ownSynced) const
+                                    LogIndex ownSynced, std::size_t minCopies) const
 {
-    return majorityValue<LogIndex>(membership, [&](const ReplicaId &id) {
+    const auto copied = [&](const ReplicaId &id) {
         return id == self ? ownSynced : peers_.at(id).match;
-    });
+    };
+    return majorityValue<LogIndex>(membership, copied, minCopies);
 }
 
 std::optional<Instant> ProgressTable::quorumConfirmedAt(const Membership &membership,
--- a/core/replica_progress.h
+++ b/core/replica_progress.h
@@ -73,9 +73,9 @@
 
     [[nodiscard]] std::map<ReplicaId, PeerProgress> &peers() { return peers_; }
 
-    // The largest index that a majority of voters has on disk.
+    // The largest index that a majority of voters, and `minCopies` of them, have on disk.
     [[nodiscard]] LogIndex quorumMatch(const Membership &membership, const ReplicaId &self,
-                                       LogIndex ownSynced) const;
+                                       LogIndex ownSynced, std::size_t minCopies) const;
 
     // The latest start of a round that a majority of voters confirmed; `now` for a sole voter.
     [[nodiscard]] std::optional<Instant>
--- /dev/null
+++ b/core/site_messages.h
@@ -0,0 +1,73 @@
+// Messages between the processes of a site. Entries keep a connection to every control VM; control
+// VMs keep one to each other. The encoding is in net/site_codec.h.
+
+#ifndef FIREFLYROUTE_CORE_SITE_MESSAGES_H
+#define FIREFLYROUTE_CORE_SITE_MESSAGES_H
+
+#include "core/endpoint_registry.h"
+#include "core/replication_types.h"
+#include "core/site_state.h"
+
+#include <variant>
+#include <vector>
+
+namespace fireflyroute::core {
+
+// First message of each connection.
+struct Greeting
+{
+    VmId vm;
+    bool isEntry = false;
+};
+
+// An entry asks whether its state is the newest.
+struct CurrencyProbe
+{
+    std::uint64_t nonce = 0; // returned in the reply
+    std::uint64_t revision = 0; // of the state that the entry holds
+};
+
+struct CurrencyReply
+{
+    std::uint64_t nonce = 0;
+    std::uint64_t newest = 0; // revision of the state; meaningful if `authoritative`
+    bool authoritative = false; // from a leader under a valid lease
+    std::vector<VmId> controlVms; // members of the group, to connect to
+    VmId leader; // empty when none is known
+};
+
+// The state of the site, sent after each change and to a newly connected entry.
+struct StateUpdate
+{
+    SiteData data;
+};
+
+// Endpoint records that are new or changed.
+struct EndpointUpdate
+{
+    std::vector<EndpointRecord> records;
+};
+
+// Answers of one version on one route, as counted by one entry since its last report.
+struct OutcomeCount
+{
+    ServiceName service;
+    VersionName version;
+    std::string route;
+    std::uint32_t good = 0;
+    std::uint32_t bad = 0; // failed on the endpoint
+    std::uint32_t slow = 0; // far slower than the route's other answers
+    std::uint32_t outstanding = 0; // still running; a level and no count
+};
+
+struct OutcomeReport
+{
+    std::vector<OutcomeCount> counts;
+};
+
+using SiteMessage = std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate,
+                                 EndpointUpdate, OutcomeReport, ReplicaMessage>;
+
+} // namespace fireflyroute::core
+
+#endif
--- /dev/null
+++ b/core/site_view.h
@@ -0,0 +1,28 @@
+// What an entry's traffic thread knows of the site: an immutable view that the control thread
+// replaces after each change.
+
+#ifndef FIREFLYROUTE_CORE_SITE_VIEW_H
+#define FIREFLYROUTE_CORE_SITE_VIEW_H
+
+#include "core/endpoint_registry.h"
+#include "core/site_config.h"
+#include "core/site_state.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace fireflyroute::core {
+
+struct SiteView
+{
+    std::uint64_t revision = 0; // of the state
+    std::shared_ptr<const SiteTable> table; // null before the first configuration
+    std::map<ServiceName, Rollout> rollouts;
+    std::unordered_map<ServiceName, std::vector<EndpointRecord>> endpoints; // that are not gone
+};
+
+} // namespace fireflyroute::core
+
+#endif
--- /dev/null
+++ b/core/version_gate.cpp
@@ -0,0 +1,73 @@
+// The draw of versions.
+
+#include "core/version_gate.h"
+
+#include <algorithm>
+
+namespace fireflyroute::core {
+
+namespace {
+
+// FNV-1a, the same in every process.
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
+{
+    constexpr std::uint64_t kOffset = 14695981039346656037ULL;
+    constexpr std::uint64_t kPrime = 1099511628211ULL;
+    std::uint64_t hash = kOffset ^ seed;
+    for (const char c : text)
+        hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+    hash ^= hash >> 29U;
+    hash *= kPrime;
+    return hash ^ (hash >> 32U);
+}
+
+} // namespace
+
+VersionGate::VersionGate(const Rollout *rollout, const std::vector<EndpointRecord> &endpoints)
+    : rollout_(rollout)
+{
+    if (rollout_)
+        return;
+    std::map<VersionName, std::size_t> counts;
+    std::size_t most = 0;
+    for (const EndpointRecord &endpoint : endpoints) {
+        const std::size_t count = ++counts[endpoint.version];
+        if (count > most) {
+            most = count;
+            steady_ = endpoint.version;
+        }
+    }
+}
+
+void VersionGate::draw(std::string_view identity, double canaryShare,
+                       const std::optional<VersionName> &pinned)
+{
+    if (!rollout_ || rollout_->stage != RolloutStage::Canary)
+        return;
+    if (pinned) {
+        canary_ = *pinned == rollout_->target;
+        return;
+    }
+    constexpr std::uint64_t kSteps = 10'000;
+    const std::uint64_t drawn = hashOf(identity, rollout_->number) % kSteps;
+    canary_ = static_cast<double>(drawn) < canaryShare * kSteps;
+}
+
+bool VersionGate::admits(const VersionName &version) const
+{
+    if (!rollout_)
+        return version == steady_;
+    const bool isTarget = version == rollout_->target;
+    switch (rollout_->stage) {
+    case RolloutStage::Canary:
+        return isTarget == canary_;
+    case RolloutStage::Expanding:
+    case RolloutStage::Completed:
+        return isTarget;
+    case RolloutStage::RolledBack:
+        return !isTarget;
+    }
+    return false;
+}
+
+} // namespace fireflyroute::core
--- a/net/json_fields.cpp
+++ b/net/json_fields.cpp
@@ -115,10 +115,16 @@
     return where_.empty() ? name : where_ + "." + name;
 }
 
-Result<void> FieldReader::finish() const
+Result<void> FieldReader::finishLenient() const
 {
     if (failure_)
         return *failure_;
+    return core::outcome::success();
+}
+
+Result<void> FieldReader::finish() const
+{
+    BOOST_OUTCOME_TRYV(finishLenient());
     for (const std::string &name : value_.getMemberNames()) {
         if (!seen_.contains(name))
             return NetFailure{NetError::Malformed, path(name.c_str()) + ": unknown field"};
--- a/net/json_fields.h
+++ b/net/json_fields.h
@@ -132,6 +132,9 @@
     // The first problem, or success. Unknown fields are a problem.
     [[nodiscard]] Result<void> finish() const;
 
+    // The same for messages of others, who may know fields that are unknown here.
+    [[nodiscard]] Result<void> finishLenient() const;
+
     [[nodiscard]] std::string path(const char *name) const;
 
 private:
--- /dev/null
+++ b/net/site_codec.cpp
@@ -0,0 +1,272 @@
+// Fields of each message, in the order in which cereal writes them.
+
+#include "net/site_codec.h"
+
+#include <boost/iostreams/device/array.hpp>
+#include <boost/iostreams/stream.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <sstream>
+
+// cereal finds these by the namespace of its archives.
+namespace cereal {
+
+using namespace fireflyroute::core;
+
+template<class Archive, typename Tag>
+std::string save_minimal(const Archive & /*archive*/, const Identifier<Tag> &id)
+{
+    return id.value();
+}
+
+template<class Archive, typename Tag>
+void load_minimal(const Archive & /*archive*/, Identifier<Tag> &id, const std::string &value)
+{
+    id = Identifier<Tag>(value);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ReplicaId &id)
+{
+    archive(id.vm, id.incarnation);
+}
+
+template<class Archive>
+void serialize(Archive &archive, Member &member)
+{
+    archive(member.id, member.role);
+}
+
+template<class Archive>
+void serialize(Archive &archive, Membership &membership)
+{
+    archive(membership.members);
+}
+
+template<class Archive>
+void serialize(Archive &archive, LogEntry &entry)
+{
+    archive(entry.index, entry.term, entry.kind, entry.payload, entry.membership);
+}
+
+template<class Archive>
+void serialize(Archive &archive, SnapshotMeta &meta)
+{
+    archive(meta.index, meta.term, meta.membership);
+}
+
+template<class Archive>
+void serialize(Archive &archive, PreVoteRequest &body)
+{
+    archive(body.lastIndex, body.lastTerm);
+}
+
+template<class Archive>
+void serialize(Archive &archive, VoteRequest &body)
+{
+    archive(body.lastIndex, body.lastTerm, body.transfer);
+}
+
+template<class Archive>
+void serialize(Archive &archive, VoteReply &body)
+{
+    archive(body.preVote, body.granted);
+}
+
+template<class Archive>
+void serialize(Archive &archive, AppendRequest &body)
+{
+    archive(body.previousIndex, body.previousTerm, body.entries, body.commit, body.round);
+}
+
+template<class Archive>
+void serialize(Archive &archive, AppendReply &body)
+{
+    archive(body.success, body.match, body.rejected, body.hint, body.round);
+}
+
+template<class Archive>
+void serialize(Archive &archive, SnapshotChunk &body)
+{
+    archive(body.meta, body.totalBytes, body.offset, body.data, body.round);
+}
+
+template<class Archive>
+void serialize(Archive &archive, SnapshotReply &body)
+{
+    archive(body.index, body.nextOffset, body.round);
+}
+
+template<class Archive>
+void serialize(Archive & /*archive*/, TimeoutNow & /*body*/)
+{}
+
+template<class Archive>
+void serialize(Archive &archive, JoinRequest &body)
+{
+    archive(body.role);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ReplicaMessage &message)
+{
+    archive(message.group, message.from, message.to, message.term, message.body);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ConfigDocument &document)
+{
+    archive(document.version, document.bytes);
+}
+
+template<class Archive>
+void serialize(Archive &archive, Rollout &rollout)
+{
+    archive(rollout.service, rollout.target, rollout.number, rollout.durationMs,
+            rollout.orderedAtMs, rollout.stage);
+}
+
+template<class Archive>
+void serialize(Archive &archive, PutDocument &command)
+{
+    archive(command.document);
+}
+
+template<class Archive>
+void serialize(Archive &archive, StartRollout &command)
+{
+    archive(command.rollout);
+}
+
+template<class Archive>
+void serialize(Archive &archive, MoveRollout &command)
+{
+    archive(command.service, command.number, command.stage);
+}
+
+template<class Archive>
+void serialize(Archive &archive, SiteData &data)
+{
+    archive(data.revision, data.document, data.rollouts);
+}
+
+template<class Archive>
+void serialize(Archive &archive, EndpointRecord &record)
+{
+    archive(record.id, record.service, record.address, record.dataCentre, record.version,
+            record.slots, record.state, record.bornMs, record.sequence, record.warmupMs,
+            record.silent);
+}
+
+template<class Archive>
+void serialize(Archive &archive, Greeting &message)
+{
+    archive(message.vm, message.isEntry);
+}
+
+template<class Archive>
+void serialize(Archive &archive, CurrencyProbe &message)
+{
+    archive(message.nonce, message.revision);
+}
+
+template<class Archive>
+void serialize(Archive &archive, CurrencyReply &message)
+{
+    archive(message.nonce, message.newest, message.authoritative, message.controlVms,
+            message.leader);
+}
+
+template<class Archive>
+void serialize(Archive &archive, StateUpdate &message)
+{
+    archive(message.data);
+}
+
+template<class Archive>
+void serialize(Archive &archive, EndpointUpdate &message)
+{
+    archive(message.records);
+}
+
+template<class Archive>
+void serialize(Archive &archive, OutcomeCount &count)
+{
+    archive(count.service, count.version, count.route, count.good, count.bad, count.slow,
+            count.outstanding);
+}
+
+template<class Archive>
+void serialize(Archive &archive, OutcomeReport &message)
+{
+    archive(message.counts);
+}
+
+} // namespace cereal
+
+namespace fireflyroute::net {
+
+namespace {
+
+template<typename T>
+std::string encode(const T &value)
+{
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(value);
+    return std::move(out).str();
+}
+
+template<typename T>
+Result<T> decode(std::string_view bytes)
+{
+    boost::iostreams::stream<boost::iostreams::array_source> in(bytes.data(), bytes.size());
+    T value;
+    // cereal reports bytes that end early, and lengths that can't be, by exceptions.
+    try {
+        cereal::PortableBinaryInputArchive archive(in);
+        archive(value);
+    } catch (const std::exception &problem) {
+        return NetFailure{NetError::Malformed, problem.what()};
+    }
+    return value;
+}
+
+} // namespace
+
+std::string encodeMessage(const core::SiteMessage &message)
+{
+    return encode(message);
+}
+
+Result<core::SiteMessage> decodeMessage(std::string_view bytes)
+{
+    return decode<core::SiteMessage>(bytes);
+}
+
+std::string encodeCommand(const core::SiteCommand &command)
+{
+    return encode(command);
+}
+
+Result<core::SiteCommand> decodeCommand(std::string_view bytes)
+{
+    return decode<core::SiteCommand>(bytes);
+}
+
+std::string encodeSiteData(const core::SiteData &data)
+{
+    return encode(data);
+}
+
+Result<core::SiteData> decodeSiteData(std::string_view bytes)
+{
+    return decode<core::SiteData>(bytes);
+}
+
+} // namespace fireflyroute::net
