--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -57,6 +57,7 @@
     struct Attempt
     {
         core::EndpointRecord endpoint;
+        std::uint32_t unreadTokens = 0; // that the endpoint has to read before its answer
         std::shared_ptr<net::EndpointConnection> connection;
         core::AnswerMeta meta;
         net::HttpResponseHead head;
@@ -64,6 +65,7 @@
         core::EventSplitter splitter;
         core::Instant sentAt;
         core::Instant progressAt; // when the endpoint last showed a sign of this request
+        core::Instant firstEventAt; // meaningful if hasEvent
         bool hasHead = false;
         bool hasEvent = false;
     };
@@ -73,7 +75,8 @@
     void chooseService();
 
     void attempt();
-    void send(const core::EndpointRecord &endpoint, core::Instant now);
+    void send(const core::Pick &pick, core::Instant now);
+    [[nodiscard]] core::PickAsk ask(std::size_t model) const;
     [[nodiscard]] core::Dispatch dispatchTo(const core::EndpointRecord &endpoint,
                                             core::Instant now) const;
     [[nodiscard]] net::ExchangeHandlers handlers();
@@ -88,6 +91,7 @@
 
     [[nodiscard]] bool isSound(const Attempt &attempt) const;
     [[nodiscard]] bool escalates() const;
+    [[nodiscard]] core::Pick pickFor(std::size_t model, core::Instant now) const;
     void escalate();
     void notRun();
     void dropAttempt();
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -82,7 +82,7 @@
 std::optional<core::Refusal> ProxyRequest<Dialect>::prepare(core::Instant now)
 {
     table_ = plane_.view->table;
-    if (!table_)
+    if (!table_ || plane_.isStopping(now))
         return core::Refusal::NotReady;
     const std::string_view target(request_.target);
     const std::string_view host(meta_.host);
@@ -129,34 +129,48 @@
         giveUp("no time left");
         return;
     }
+    const core::Pick pick = pickFor(model_, now);
+    if (pick.endpoint)
+        send(pick, now);
+    else
+        giveUp("no endpoint usable");
+}
+
+// The best endpoint for a sending with that model, among those that may take it.
+template<TrafficDialect Dialect>
+core::Pick ProxyRequest<Dialect>::pickFor(std::size_t model, core::Instant now) const
+{
     const auto rollout = plane_.view->rollouts.find(service_);
     const auto endpoints = plane_.view->endpoints.find(service_);
-    if (endpoints == plane_.view->endpoints.end()) {
-        giveUp("no endpoint known");
-        return;
-    }
+    if (endpoints == plane_.view->endpoints.end())
+        return {};
     core::VersionGate gate(rollout == plane_.view->rollouts.end() ? nullptr : &rollout->second,
                            endpoints->second);
     const bool hasSession = !meta_.session.empty();
     gate.draw(hasSession ? meta_.session.value() : meta_.id.value(), plane_.settings.canaryShare,
               hasSession ? plane_.pinned(meta_.session, now) : std::nullopt);
+    return plane_.picker.pick(plane_.candidates(service_, gate, tried_, now), ask(model),
+                              plane_.monitor, now);
+}
+
+template<TrafficDialect Dialect>
+core::PickAsk ProxyRequest<Dialect>::ask(std::size_t model) const
+{
     core::PickAsk ask;
     if (!meta_.prompt.empty())
         ask.prompt = &meta_.prompt;
-    if (!route_->models.empty())
-        ask.model = route_->models[model_];
-    const core::EndpointRecord *endpoint = plane_.picker.pick(
-            plane_.candidates(service_, gate, tried_, now), ask, plane_.monitor, now);
-    if (!endpoint) {
-        giveUp("no endpoint usable");
-        return;
+    const core::Service *service = table_->service(service_);
+    if (!route_->models.empty() && service) {
+        ask.model = route_->models[model];
+        ask.modelWeight = core::relativeCost(*service, ask.model);
     }
-    send(*endpoint, now);
+    return ask;
 }
 
 template<TrafficDialect Dialect>
-void ProxyRequest<Dialect>::send(const core::EndpointRecord &endpoint, core::Instant now)
+void ProxyRequest<Dialect>::send(const core::Pick &pick, core::Instant now)
 {
+    const core::EndpointRecord &endpoint = *pick.endpoint;
     std::shared_ptr<net::EndpointConnection> connection = plane_.pool.take(endpoint);
     if (!connection) {
         tried_.insert(endpoint.id);
@@ -170,7 +184,8 @@
     attempt_->progressAt = now;
     ++attempts_;
     ++plane_.counts.attempts;
-    plane_.monitor.sent(endpoint.id, meta_.promptTokens);
+    attempt_->unreadTokens = pick.unreadTokens;
+    plane_.monitor.sent(endpoint.id, pick.unreadTokens);
     plane_.noteRunning(endpoint, route_->name, 1);
     plane_.pin(meta_.session, endpoint.version, now);
     const core::Dispatch dispatch = dispatchTo(endpoint, now);
@@ -221,6 +236,7 @@
     attempt_->meta = Dialect::decodeAnswer(head);
     attempt_->hasHead = true;
     attempt_->progressAt = now;
+    plane_.monitor.began(attempt_->endpoint.id, attempt_->unreadTokens);
     if (attempt_->meta.load)
         plane_.monitor.reported(attempt_->endpoint.id, *attempt_->meta.load, now);
     // A failure is read to its end, so that the connection can be used again.
@@ -244,8 +260,18 @@
 template<TrafficDialect Dialect>
 bool ProxyRequest<Dialect>::escalates() const
 {
-    return !began_ && attempt_->meta.confidence && attempts_ < route_->maxAttempts
-           && !plane_.models.keeps(*route_, model_, *attempt_->meta.confidence);
+    const bool mayEscalate = !began_ && attempt_->meta.confidence && !route_->models.empty()
+                             && attempts_ < route_->maxAttempts;
+    if (!mayEscalate)
+        return false;
+    const core::Instant now = plane_.clock.now();
+    const core::Pick pick = pickFor(plane_.models.next(*route_, model_), now);
+    if (!pick.endpoint)
+        return false;
+    const std::chrono::duration<double, std::milli> ahead(pick.expectedMs);
+    const core::Duration expected =
+            now - arrivedAt_ + std::chrono::duration_cast<core::Duration>(ahead);
+    return !plane_.models.keeps(*route_, model_, *attempt_->meta.confidence, expected);
 }
 
 template<TrafficDialect Dialect>
@@ -312,6 +338,7 @@
         return;
     if (!attempt_->hasEvent) {
         attempt_->hasEvent = true;
+        attempt_->firstEventAt = attempt_->progressAt;
         const core::Duration latency = attempt_->progressAt - attempt_->sentAt;
         plane_.monitor.answered(attempt_->endpoint.id, latency,
                                 plane_.usualLatency(route_->name), attempt_->progressAt);
@@ -471,7 +498,9 @@
 {
     if (!attempt_)
         return;
-    plane_.monitor.ended(attempt_->endpoint.id, meta_.promptTokens);
+    if (!attempt_->hasHead)
+        plane_.monitor.began(attempt_->endpoint.id, attempt_->unreadTokens);
+    plane_.monitor.ended(attempt_->endpoint.id);
     plane_.noteRunning(attempt_->endpoint, route_->name, -1);
     if (attempt_->connection->isReusable())
         plane_.pool.giveBack(attempt_->endpoint, attempt_->connection);
@@ -544,6 +573,8 @@
                                      plane_.monitor.busy(attempt_->endpoint.id, now)));
         if (!route_->models.empty())
             line.add("model", route_->models[model_].value());
+        if (attempt_->hasEvent)
+            line.add("first_ms", proxy::toMillis(attempt_->firstEventAt - attempt_->sentAt));
         if (attempt_->meta.confidence)
             line.add("confidence", static_cast<std::int64_t>(*attempt_->meta.confidence));
     }
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -30,6 +30,9 @@
 // States that follow each other quickly are sent to an entry together.
 constexpr std::chrono::milliseconds kPublishPause{100};
 
+// Work that an entry reported counts for some of its reports.
+constexpr std::chrono::milliseconds kWorkLifetime{1000};
+
 // The pause before a process ends for a failed disk: it is started again at once.
 constexpr std::chrono::milliseconds kStorageRetry{700};
 
@@ -55,7 +58,10 @@
     hooks.save = [self] { return net::encodeSiteData(self->state_.data()); };
     hooks.send = [self](const core::ReplicaMessage &message) { self->send(message); };
     hooks.roleChanged = [self](const core::RoleChanged &changed) { self->onRole(changed); };
-    hooks.membershipChanged = [self](const core::Membership &) { self->connectMembers(); };
+    hooks.membershipChanged = [self](const core::Membership &membership) {
+        LogLine(self->log_, LogKind::Group).add("members", core::describe(membership));
+        self->connectMembers();
+    };
     hooks.failed = [self](const std::string &detail) {
         LogLine(self->log_, LogKind::Process).add("event", "stop").add("cause", detail);
         std::this_thread::sleep_for(kStorageRetry);
@@ -76,6 +82,7 @@
     : io_(io)
     , settings_(settings)
     , log_(log)
+    , exchange_(kWorkLifetime)
 {}
 
 Result<void> SiteControl::start()
@@ -94,7 +101,7 @@
         return fromNet(listening.error());
     driver_->start();
     connectMembers();
-    every(kExpirePeriod, [this] { expireEndpoints(); });
+    every(kExpirePeriod, [this] { expireSoftState(); });
     every(kJudgePeriod, [this] { judgeRollouts(); });
     return core::outcome::success();
 }
@@ -275,8 +282,9 @@
 }
 
 // Only the leader tells of silence: a control VM that is cut off hears nothing either.
-void SiteControl::expireEndpoints()
+void SiteControl::expireSoftState()
 {
+    connectMembers();
     const std::vector<core::EndpointRecord> silent =
             registry_.expire(clock_.now(), kSilence, kRetention);
     if (!driver_->hasLease())
@@ -365,11 +373,21 @@
     judge_.observe(peer.vm, message, clock_.now());
 }
 
+// The answer goes out at once: an entry learns what the others have sent as often as it reports.
+void SiteControl::take(Peer &peer, const core::WorkReport &message)
+{
+    const core::Instant now = clock_.now();
+    exchange_.receive(peer.vm, message, now);
+    peer.link->send(net::encodeMessage(exchange_.othersOf(peer.vm, now)));
+}
+
 void SiteControl::take(Peer & /*peer*/, const core::ReplicaMessage &message)
 {
-    // A VM that asks to join is no member yet, so it is dialled before it is answered.
+    // The sender can be answered over an own link only, and may be unknown: a leader to a VM that has
+    // lost its disk, or a VM that asks to join.
     const core::VmId &from = message.from.vm;
-    if (from != settings_.vm && !dialled_.contains(from))
+    directory_.heardOf(from, clock_.now());
+    if (!dialled_.contains(from))
         connectMembers();
     driver_->receive(message);
 }
@@ -381,14 +399,15 @@
         found->second->send(net::encodeMessage(message));
 }
 
-// Dials members and seeds that have no link yet, and lets go of those that are neither.
+// Dials wanted control VMs that have no link yet, and lets go of the others.
 void SiteControl::connectMembers()
 {
-    std::set<core::VmId> wanted;
+    std::vector<core::VmId> members;
     for (const core::Member &member : driver_->replica().membership().members)
-        wanted.insert(member.id.vm);
-    for (const core::VmId &seed : settings_.seedVms())
-        wanted.insert(seed);
+        members.push_back(member.id.vm);
+    directory_.setMembers(members);
+    directory_.setSeeds(settings_.seedVms());
+    std::set<core::VmId> wanted = directory_.wanted(clock_.now());
     wanted.erase(settings_.vm);
     for (auto it = dialled_.begin(); it != dialled_.end();) {
         if (!wanted.contains(it->first)) {
@@ -487,9 +506,7 @@
     LogLine(log_, LogKind::Group)
             .add("role", core::nameOf(changed.role))
             .add("term", static_cast<std::int64_t>(changed.term))
-            .add("leader", changed.leader ? changed.leader->vm.value() : std::string())
-            .add("members", static_cast<std::int64_t>(
-                                    driver_->replica().membership().members.size()));
+            .add("leader", changed.leader ? changed.leader->vm.value() : std::string());
     if (changed.role == core::ReplicaRole::Leader)
         judge_ = core::RolloutJudge();
 }
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -14,9 +14,11 @@
 #include "app/replica_driver.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
+#include "core/control_directory.h"
 #include "core/rollout_judge.h"
 #include "core/site_calls.h"
 #include "core/site_messages.h"
+#include "core/work_exchange.h"
 #include "net/frame_link.h"
 
 #include <boost/asio/io_context.hpp>
@@ -81,6 +83,7 @@
     void take(Peer &peer, const core::CurrencyProbe &message);
     void take(Peer &peer, const core::EndpointUpdate &message);
     void take(Peer &peer, const core::OutcomeReport &message);
+    void take(Peer &peer, const core::WorkReport &message);
     void take(Peer &peer, const core::ReplicaMessage &message);
     void take(Peer & /*peer*/, const core::CurrencyReply & /*message*/) {}
     void take(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
@@ -98,15 +101,17 @@
     void toControlVms(const core::SiteMessage &message);
     void every(std::chrono::milliseconds period, const std::function<void()> &task);
     void judgeRollouts();
-    void expireEndpoints();
+    void expireSoftState();
 
     boost::asio::io_context &io_;
     SiteSettings settings_;
     StructuredLog &log_;
     BootClock clock_;
     core::SiteState state_; // committed commands up to the applied one
+    core::ControlDirectory directory_;
     core::EndpointRegistry registry_;
     core::RolloutJudge judge_;
+    core::WorkExchange exchange_;
     std::unique_ptr<ReplicaDriver> driver_; // set by open()
     std::map<net::FrameLink *, Peer> accepted_;
     std::map<core::VmId, std::shared_ptr<net::FrameLink>> dialled_; // the other control VMs
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -49,11 +49,11 @@
     connect();
 }
 
-// Dials control VMs that have no link yet, and lets go of those that are no members any more.
+// Dials wanted control VMs that have no link yet, and lets go of the others.
 void SiteEntry::connect()
 {
     directory_.setSeeds(settings_.seedVms());
-    const std::set<core::VmId> wanted = directory_.wanted();
+    const std::set<core::VmId> wanted = directory_.wanted(clock_.now());
     for (auto it = links_.begin(); it != links_.end();) {
         if (wanted.contains(it->first)) {
             ++it;
@@ -128,13 +128,15 @@
 
 void SiteEntry::take(const core::VmId &vm, const core::CurrencyReply &message)
 {
+    for (const core::VmId &member : message.controlVms)
+        directory_.heardOf(member, clock_.now());
     if (message.authoritative) {
         leader_ = vm;
+        directory_.setMembers(message.controlVms);
         currency_.answered(message.nonce, message.newest, state_.revision);
         tellCurrency();
     }
-    if (directory_.heard(message.controlVms, message.authoritative))
-        connect();
+    connect();
 }
 
 void SiteEntry::take(const core::VmId &vm, const core::StateUpdate &message)
@@ -226,7 +228,7 @@
                        [](const auto &one) { return !one.second.isFinal(); });
 }
 
-void SiteEntry::sendOutcomes(const core::OutcomeReport &report)
+void SiteEntry::tellLeader(const core::SiteMessage &report)
 {
     const auto leader = links_.find(leader_);
     if (leader != links_.end())
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -38,6 +38,7 @@
 {
     std::function<void(std::shared_ptr<const core::SiteView>)> viewChanged;
     std::function<void(core::Instant)> currentUntil;
+    std::function<void(core::WorkReport)> othersWork;
 };
 
 class SiteEntry
@@ -54,8 +55,8 @@
     // Whether requests can be served now.
     [[nodiscard]] bool isReady() const;
 
-    // Sends counts to the leader; dropped if none is known.
-    void sendOutcomes(const core::OutcomeReport &report);
+    // Sends a report to the leader; dropped if none is known.
+    void tellLeader(const core::SiteMessage &report);
 
     // Whether a roll-out needs outcomes.
     [[nodiscard]] bool isRolloutUnderWay() const;
@@ -74,6 +75,10 @@
     void take(const core::VmId &vm, const core::CurrencyReply &message);
     void take(const core::VmId &vm, const core::StateUpdate &message);
     void take(const core::VmId &vm, const core::EndpointUpdate &message);
+    void take(const core::VmId & /*vm*/, const core::WorkReport &message)
+    {
+        outputs_.othersWork(message);
+    }
     template<typename Other>
     void take(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -49,6 +49,9 @@
 
 constexpr std::chrono::milliseconds kTendPeriod{1000};
 
+// Between two reports of work. Shorter than a long prompt takes to be read.
+constexpr std::chrono::milliseconds kWorkPeriod{150};
+
 // A control VM that stops answers calls for a moment longer, while its successor is elected.
 constexpr std::chrono::milliseconds kHandOverPeriod{900};
 
@@ -70,6 +73,7 @@
         , entry_(io, settings, log, decodeConfig, outputs())
         , outcomeTimer_(io)
         , tendTimer_(traffic_)
+        , workTimer_(traffic_)
         , stopTimer_(io)
     {}
 
@@ -104,6 +108,7 @@
         entry_.start();
         tend();
         reportOutcomes();
+        exchangeWork();
         trafficThread_ = std::thread([this] { traffic_.run(); });
         return core::outcome::success();
     }
@@ -116,7 +121,9 @@
     {
         stopping_ = true;
         stopAt_ = clock_.now();
-        boost::asio::post(traffic_, [this] { plane_.leaving = true; });
+        boost::asio::post(traffic_, [this, from = stopAt_ + settings_.intakePeriod] {
+            plane_.refusesFrom = from;
+        });
         stopTimer_.expires_after(settings_.drainPeriod);
         stopTimer_.async_wait([this](const boost::system::error_code &) { endWhenIdle(); });
     }
@@ -137,9 +144,26 @@
         outputs.currentUntil = [this](core::Instant until) {
             boost::asio::post(traffic_, [this, until] { plane_.currentUntil = until; });
         };
+        outputs.othersWork = [this](core::WorkReport report) {
+            boost::asio::post(traffic_, [this, report = std::move(report)] {
+                plane_.monitor.heardOthers(report, clock_.now());
+            });
+        };
         return outputs;
     }
 
+    // Tells the leader what this entry has sent, and learns what the others have.
+    void exchangeWork()
+    {
+        workTimer_.expires_after(kWorkPeriod);
+        workTimer_.async_wait([this](const boost::system::error_code &) {
+            boost::asio::post(io_, [this, report = plane_.monitor.ownWork()] {
+                entry_.tellLeader(report);
+            });
+            exchangeWork();
+        });
+    }
+
     void takeView(const std::shared_ptr<const core::SiteView> &view)
     {
         plane_.setView(view);
@@ -169,7 +193,7 @@
             if (entry_.isRolloutUnderWay()) {
                 boost::asio::post(traffic_, [this] {
                     boost::asio::post(io_, [this, report = plane_.takeOutcomes()] {
-                        entry_.sendOutcomes(report);
+                        entry_.tellLeader(report);
                     });
                 });
             }
@@ -201,6 +225,7 @@
     SiteEntry entry_;
     boost::asio::steady_timer outcomeTimer_;
     boost::asio::steady_timer tendTimer_; // of the traffic thread
+    boost::asio::steady_timer workTimer_; // of the traffic thread
     boost::asio::steady_timer stopTimer_;
     bool stopping_ = false;
     core::Instant stopAt_;
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -41,8 +41,9 @@
 constexpr double kKeyLeasePart = 0.84;
 
 // The balancer asks each second and takes a VM out after two misses; requests on their way then
-// still come.
-constexpr std::chrono::milliseconds kDrainPeriod{3200};
+// still come. A request that comes later than the intake might outlast the process: it is refused.
+constexpr std::chrono::milliseconds kDrainPeriod{2300};
+constexpr std::chrono::milliseconds kIntakePeriod{2800};
 
 // Parts of the allowed amounts that are used, since all entries spend without asking each other.
 constexpr double kRetryPart = 0.85;
@@ -102,6 +103,7 @@
     settings.keyLease = std::chrono::milliseconds(
             static_cast<std::int64_t>(FLAGS_site_revoke_ms * kKeyLeasePart));
     settings.drainPeriod = kDrainPeriod;
+    settings.intakePeriod = kIntakePeriod;
     settings.gracePeriod = seconds(FLAGS_site_grace_s);
     settings.heartbeatInterval = std::chrono::milliseconds(FLAGS_site_heartbeat_ms);
     settings.sessionTtl = seconds(FLAGS_site_session_s);
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -36,6 +36,7 @@
     std::size_t toleratedLosses = 2;
     core::Duration keyLease{}; // how long keys may be taken without proof that they still hold
     core::Duration drainPeriod{}; // from readiness given up to the end of idle connections
+    core::Duration intakePeriod{}; // from readiness given up to the last request that is taken
     core::Duration gracePeriod{}; // from the order to stop to the kill
     core::Duration heartbeatInterval{}; // of endpoints
     core::Duration sessionTtl{}; // requests of one session follow each other within it
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -50,6 +50,12 @@
     // Whether the entry may rely on its configuration now.
     [[nodiscard]] bool isCurrent(core::Instant now) const { return now < currentUntil; }
 
+    // Whether a new request would outlast the process.
+    [[nodiscard]] bool isStopping(core::Instant now) const
+    {
+        return refusesFrom && now >= *refusesFrom;
+    }
+
     // The endpoints that may take this sending of a request.
     [[nodiscard]] std::vector<const core::EndpointRecord *>
     candidates(const core::ServiceName &service, const core::VersionGate &gate,
@@ -83,7 +89,7 @@
     BootClock clock;
     std::shared_ptr<const core::SiteView> view; // never null
     core::Instant currentUntil; // the entry may rely on its view until then
-    bool leaving = false; // the process was told to stop
+    std::optional<core::Instant> refusesFrom; // the process stops: no new request from then on
     core::EndpointMonitor monitor;
     core::EndpointPicker picker;
     core::ModelChooser models;
--- a/core/endpoint_monitor.cpp
+++ b/core/endpoint_monitor.cpp
@@ -19,21 +19,62 @@
 
 } // namespace
 
-void EndpointMonitor::sent(const EndpointId &id, std::uint32_t tokens)
+void EndpointMonitor::sent(const EndpointId &id, std::uint32_t unreadTokens)
 {
     Seen &seen = seen_[id];
     ++seen.outstanding;
-    seen.tokens += tokens;
+    seen.unreadTokens += unreadTokens;
 }
 
-void EndpointMonitor::ended(const EndpointId &id, std::uint32_t tokens)
+void EndpointMonitor::began(const EndpointId &id, std::uint32_t unreadTokens)
 {
     const auto found = seen_.find(id);
-    if (found == seen_.end())
-        return;
-    Seen &seen = found->second;
-    seen.outstanding -= std::min(seen.outstanding, 1U);
-    seen.tokens -= std::min<std::uint64_t>(seen.tokens, tokens);
+    if (found != seen_.end())
+        found->second.unreadTokens -=
+                std::min<std::uint64_t>(found->second.unreadTokens, unreadTokens);
+}
+
+void EndpointMonitor::ended(const EndpointId &id)
+{
+    const auto found = seen_.find(id);
+    if (found != seen_.end())
+        found->second.outstanding -= std::min(found->second.outstanding, 1U);
+}
+
+WorkReport EndpointMonitor::ownWork() const
+{
+    WorkReport report;
+    for (const auto &[id, seen] : seen_) {
+        if (seen.outstanding > 0)
+            report.work.push_back(
+                    {id, seen.outstanding, static_cast<std::uint32_t>(seen.unreadTokens)});
+    }
+    return report;
+}
+
+void EndpointMonitor::heardOthers(const WorkReport &report, Instant now)
+{
+    others_.clear();
+    for (const EndpointWork &work : report.work)
+        others_.emplace(work.id, work);
+    othersAt_ = now;
+}
+
+// What others have sent there; null if they have sent nothing, or that is not known.
+const EndpointWork *EndpointMonitor::othersAt(const EndpointId &id, Instant now) const
+{
+    const bool isFresh = othersAt_ && now - *othersAt_ < policy_.othersLifetime;
+    const auto found = others_.find(id);
+    return isFresh && found != others_.end() ? &found->second : nullptr;
+}
+
+double EndpointMonitor::unreadTokens(const EndpointId &id, Instant now) const
+{
+    const auto found = seen_.find(id);
+    const double own =
+            found == seen_.end() ? 0 : static_cast<double>(found->second.unreadTokens);
+    const EndpointWork *others = othersAt(id, now);
+    return own + (others ? others->unreadTokens : 0);
 }
 
 void EndpointMonitor::answered(const EndpointId &id, Duration latency, Duration expected,
@@ -97,10 +138,14 @@
 double EndpointMonitor::busy(const EndpointId &id, Instant now) const
 {
     const auto found = seen_.find(id);
+    const double own = found == seen_.end() ? 0 : found->second.outstanding;
+    if (othersAt_ && now - *othersAt_ < policy_.othersLifetime) {
+        const EndpointWork *others = othersAt(id, now);
+        return own + (others ? others->running : 0);
+    }
     if (found == seen_.end())
         return 0;
     const Seen &seen = found->second;
-    const double own = seen.outstanding;
     if (!seen.loadAt || now - *seen.loadAt > policy_.loadLifetime)
         return own;
     const double then = seen.outstandingThen;
--- a/core/endpoint_monitor.h
+++ b/core/endpoint_monitor.h
@@ -2,10 +2,13 @@
 // reported, how fast they answer, and failures. It tells which ones may be used and how busy each
 // is.
 //
-//   monitor.sent(id, tokens);
-//   monitor.answered(id, latency, load, now);      // or failed(id, now)
+//   monitor.sent(id, unreadTokens);
+//   monitor.began(id, unreadTokens);               // the first part of an answer came
+//   monitor.ended(id);
 //   if (monitor.isUsable(id, now)) ...
 //
+// Other entries' work is taken in as the leader tells it (core/work_exchange.h).
+//
 // After a failure an endpoint rests; the rest doubles with each failure in a row. When it ends, one
 // request at a time tries the endpoint again.
 
@@ -14,6 +17,7 @@
 
 #include "core/clock.h"
 #include "core/site_calls.h"
+#include "core/site_messages.h"
 #include "core/types.h"
 
 #include <cstdint>
@@ -27,6 +31,7 @@
     Duration firstRest = std::chrono::milliseconds(400);
     Duration longestRest = std::chrono::seconds(5);
     Duration loadLifetime = std::chrono::milliseconds(1500); // a report counts for so long
+    Duration othersLifetime = std::chrono::milliseconds(700); // of what other entries sent
     double failureLimit = 0.5; // share of recent answers that failed, above which it rests
     double memory = 0.15; // weight of the newest answer in averages
 };
@@ -38,10 +43,21 @@
         : policy_(policy)
     {}
 
-    void sent(const EndpointId &id, std::uint32_t tokens);
+    // A request was sent, of whose prompt the endpoint has so many tokens to read.
+    void sent(const EndpointId &id, std::uint32_t unreadTokens);
+
+    // It has read them, or the request ended before that.
+    void began(const EndpointId &id, std::uint32_t unreadTokens);
 
     // The request ended there, in whatever way.
-    void ended(const EndpointId &id, std::uint32_t tokens);
+    void ended(const EndpointId &id);
+
+    // What this entry has sent, and what all others have.
+    [[nodiscard]] WorkReport ownWork() const;
+    void heardOthers(const WorkReport &report, Instant now);
+
+    // Prompt tokens that it has yet to read, from all entries.
+    [[nodiscard]] double unreadTokens(const EndpointId &id, Instant now) const;
 
     // The first part of a sound answer came. `expected` is what others take for such a request.
     void answered(const EndpointId &id, Duration latency, Duration expected, Instant now);
@@ -71,7 +87,7 @@
     struct Seen
     {
         std::uint32_t outstanding = 0; // of this entry
-        std::uint64_t tokens = 0; // of those requests
+        std::uint64_t unreadTokens = 0; // of those requests
         EndpointLoad load; // as last reported
         std::uint32_t outstandingThen = 0; // of this entry when the load was reported
         std::optional<Instant> loadAt;
@@ -85,8 +101,12 @@
 
     void rest(Seen &seen, Instant now) const;
 
+    [[nodiscard]] const EndpointWork *othersAt(const EndpointId &id, Instant now) const;
+
     MonitorPolicy policy_;
     std::unordered_map<EndpointId, Seen> seen_;
+    std::unordered_map<EndpointId, EndpointWork> others_; // as last told
+    std::optional<Instant> othersAt_; // when it was told
 };
 
 } // namespace fireflyroute::core
--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -46,6 +46,24 @@
     return shared;
 }
 
+// The candidate that all entries agree on for these shared parts; null if there are none.
+const EndpointRecord *ownerOf(const SharedPrompt &shared,
+                              const std::vector<const EndpointRecord *> &candidates)
+{
+    if (shared.tokens == 0)
+        return nullptr;
+    const EndpointRecord *owner = nullptr;
+    std::uint64_t highest = 0;
+    for (const EndpointRecord *candidate : candidates) {
+        const std::uint64_t score = mix(shared.hash ^ textHash(candidate->id.value()));
+        if (!owner || score > highest) {
+            owner = candidate;
+            highest = score;
+        }
+    }
+    return owner;
+}
+
 } // namespace
 
 double EndpointPicker::distance(const DataCentreId &other) const
@@ -67,8 +85,9 @@
     const double slowness = monitor.slowness(endpoint.id);
     double result = distance(endpoint.dataCentre);
     if (ask.prompt) {
+        result += weights_.perUnreadToken * monitor.unreadTokens(endpoint.id, now);
         result += weights_.perBusyShare * busy / slots;
-        result += weights_.perWaiting * std::max(0.0, busy - slots) / slots * 10;
+        result += weights_.perWaiting * std::max(0.0, busy - slots) / slots;
     } else {
         result += ask.workMs * std::max(0.0, busy + 1 - slots) / slots + busy / slots;
     }
@@ -78,32 +97,25 @@
     return result;
 }
 
-const EndpointRecord *
-EndpointPicker::pick(const std::vector<const EndpointRecord *> &candidates, const PickAsk &ask,
-                     const EndpointMonitor &monitor, Instant now) const
+Pick EndpointPicker::pick(const std::vector<const EndpointRecord *> &candidates, const PickAsk &ask,
+                          const EndpointMonitor &monitor, Instant now) const
 {
     const SharedPrompt shared = sharedPrompt(ask);
-    const EndpointRecord *owner = nullptr;
-    std::uint64_t highest = 0;
-    if (shared.tokens > 0) {
-        for (const EndpointRecord *candidate : candidates) {
-            const std::uint64_t score = mix(shared.hash ^ textHash(candidate->id.value()));
-            if (!owner || score > highest) {
-                owner = candidate;
-                highest = score;
-            }
-        }
+    const EndpointRecord *owner = ownerOf(shared, candidates);
+    double prompt = 0;
+    if (ask.prompt) {
+        for (const PromptPart &part : *ask.prompt)
+            prompt += part.tokens;
     }
-    const EndpointRecord *best = nullptr;
-    double least = std::numeric_limits<double>::max();
+    Pick best;
+    best.expectedMs = std::numeric_limits<double>::max();
     for (const EndpointRecord *candidate : candidates) {
-        double expected = cost(*candidate, ask, monitor, now);
-        if (owner && candidate != owner)
-            expected += weights_.missPerToken * static_cast<double>(shared.tokens);
-        if (expected < least) {
-            least = expected;
-            best = candidate;
-        }
+        const double kept = candidate == owner ? static_cast<double>(shared.tokens) : 0;
+        const double unread = (prompt - kept) * ask.modelWeight;
+        const double expected =
+                cost(*candidate, ask, monitor, now) + weights_.perUnreadToken * unread;
+        if (expected < best.expectedMs)
+            best = Pick{candidate, expected, static_cast<std::uint32_t>(unread)};
     }
     return best;
 }
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -23,11 +23,11 @@
 // Expected costs, in milliseconds of a request's time.
 struct PickWeights
 {
-    double missPerToken = 0.012; // to read a shared part of the prompt that is not cached
+    double perUnreadToken = 0.04; // of a prompt, on the largest model
     double otherDataCentre = 3;
     double otherRegion = 45; // the round trip, and bytes that are billed
     double perBusyShare = 220; // of a model engine whose slots are all taken
-    double perWaiting = 60; // for each request beyond the slots, in shares of a slot's turn
+    double perWaiting = 600; // for as many requests beyond the slots as there are slots
     double warmup = 400; // while the endpoint says that it is still slow
 };
 
@@ -36,9 +36,18 @@
 {
     const std::vector<PromptPart> *prompt = nullptr; // null for plain services
     ModelName model;
+    double modelWeight = 1; // time that the model takes, in parts of the largest one's
     double workMs = 60; // usual time of such a request
 };
 
+// The choice, and what follows from it.
+struct Pick
+{
+    const EndpointRecord *endpoint = nullptr;
+    double expectedMs = 0; // until the first part of the answer, roughly
+    std::uint32_t unreadTokens = 0; // of the prompt, in tokens of the largest model
+};
+
 class EndpointPicker
 {
 public:
@@ -49,8 +58,8 @@
         , weights_(weights)
     {}
 
-    // Null if there is no candidate.
-    [[nodiscard]] const EndpointRecord *
+    // Without an endpoint if there is no candidate.
+    [[nodiscard]] Pick
     pick(const std::vector<const EndpointRecord *> &candidates, const PickAsk &ask,
          const EndpointMonitor &monitor, Instant now) const;
 
--- a/core/model_choice.h
+++ b/core/model_choice.h
@@ -3,7 +3,7 @@
 //
 //   std::size_t model = chooser.first(route);
 //   ... the answer's head says that its model is 35 of 100 confident ...
-//   if (!chooser.keeps(route, model, 35))
+//   if (!chooser.keeps(route, model, 35, 400ms))
 //       model = chooser.next(route, model);
 
 #ifndef FIREFLYROUTE_CORE_MODEL_CHOICE_H
@@ -11,6 +11,7 @@
 
 #include "core/site_config.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -18,9 +19,25 @@
 
 struct ModelPolicy
 {
-    std::uint32_t minConfidence = 70; // below it, a larger model answers instead
+    // Below this confidence a larger model answers instead, if it can in good time.
+    double minConfidence = 60;
+    // The bound falls once the larger model's answer is expected to take more than this part of the
+    // route's objective, and is 0 when it is expected to miss it.
+    double easyPart = 0.35;
 };
 
+// What a model costs, in parts of the service's dearest one; 1 if it is not known.
+[[nodiscard]] inline double relativeCost(const Service &service, const ModelName &model)
+{
+    double dearest = 0;
+    double own = 0;
+    for (const ModelCost &cost : service.models) {
+        dearest = std::max(dearest, cost.perThousandTokens);
+        own = cost.model == model ? cost.perThousandTokens : own;
+    }
+    return own > 0 ? own / dearest : 1;
+}
+
 class ModelChooser
 {
 public:
@@ -38,10 +55,18 @@
         return route.models.size() - 1;
     }
 
-    // Whether the answer of a model with this confidence is delivered.
-    [[nodiscard]] bool keeps(const Route &route, std::size_t model, std::uint32_t confidence) const
+    // Whether the answer of a model with this confidence is delivered, if another one would be
+    // there `expected` after the request came.
+    [[nodiscard]] bool keeps(const Route &route, std::size_t model, std::uint32_t confidence,
+                             Duration expected) const
     {
-        return model + 1 >= route.models.size() || confidence >= policy_.minConfidence;
+        if (model + 1 >= route.models.size())
+            return true;
+        const double part = static_cast<double>(expected.count())
+                            / static_cast<double>(std::max<Duration::rep>(
+                                    route.latencyObjective.count(), 1));
+        const double ease = std::clamp((1 - part) / (1 - policy_.easyPart), 0.0, 1.0);
+        return confidence >= policy_.minConfidence * ease;
     }
 
 private:
--- a/core/replica_membership.cpp
+++ b/core/replica_membership.cpp
@@ -65,6 +65,15 @@
     return found == membership.members.end() ? nullptr : &*found;
 }
 
+std::string describe(const Membership &membership)
+{
+    std::string text;
+    for (const Member &member : membership.members)
+        text += fmt::format("{}{} {}", text.empty() ? "" : ", ", describe(member.id),
+                            nameOf(member.role));
+    return text;
+}
+
 bool isVoter(const Membership &membership, const ReplicaId &id)
 {
     const Member *member = findMember(membership, id);
--- a/core/replica_membership.h
+++ b/core/replica_membership.h
@@ -36,6 +36,9 @@
 // The member with that id, or null. The pointer lives as long as the membership.
 [[nodiscard]] const Member *findMember(const Membership &membership, const ReplicaId &id);
 
+// All members with their lives and roles, for logs.
+[[nodiscard]] std::string describe(const Membership &membership);
+
 [[nodiscard]] bool isVoter(const Membership &membership, const ReplicaId &id);
 
 [[nodiscard]] std::size_t voterCount(const Membership &membership);
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -65,8 +65,28 @@
     std::vector<OutcomeCount> counts;
 };
 
+// Work at one endpoint: requests that run or wait there, and prompt tokens that it has yet to read
+// before their first events, in tokens of its largest model.
+struct EndpointWork
+{
+    EndpointId id;
+    std::uint32_t running = 0;
+    std::uint32_t unreadTokens = 0;
+
+    bool operator==(const EndpointWork &) const = default;
+};
+
+// From an entry to the leader: what it has sent. From the leader to an entry: what all others have
+// sent. Endpoints without work are left out.
+struct WorkReport
+{
+    std::vector<EndpointWork> work;
+
+    bool operator==(const WorkReport &) const = default;
+};
+
 using SiteMessage = std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate,
-                                 EndpointUpdate, OutcomeReport, ReplicaMessage>;
+                                 EndpointUpdate, OutcomeReport, WorkReport, ReplicaMessage>;
 
 } // namespace fireflyroute::core
 
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -207,6 +207,18 @@
     archive(message.counts);
 }
 
+template<class Archive>
+void serialize(Archive &archive, EndpointWork &work)
+{
+    archive(work.id, work.running, work.unreadTokens);
+}
+
+template<class Archive>
+void serialize(Archive &archive, WorkReport &message)
+{
+    archive(message.work);
+}
+
 } // namespace cereal
 
 namespace fireflyroute::net {
