--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -25,9 +25,8 @@
 // Reads and writes the messages of callers and endpoints.
 template<typename D>
 concept TrafficDialect = requires(const net::HttpRequestMessage &request,
-                                  const core::Dispatch &dispatch,
-                                  const net::HttpResponseHead &head, core::Refusal refusal,
-                                  core::Duration retryAfter)
+                                  const core::Dispatch &dispatch, const net::HttpResponseHead &head,
+                                  core::Refusal refusal, core::Duration retryAfter)
 {
     {
         D::decodeRequest(request)
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -110,8 +110,7 @@
     std::uint64_t total = 0;
     for (const core::WeightedService &one : route_->services)
         total += one.weight;
-    const std::string &identity =
-            meta_.session.empty() ? meta_.id.value() : meta_.session.value();
+    const std::string &identity = meta_.session.empty() ? meta_.id.value() : meta_.session.value();
     std::uint64_t drawn = std::hash<std::string>()(identity) % std::max<std::uint64_t>(total, 1);
     for (const core::WeightedService &one : route_->services) {
         service_ = one.service;
@@ -205,8 +204,7 @@
     dispatch.deadline = deadlineAt_ - now;
     if (!route_->models.empty()) {
         dispatch.model = route_->models[model_];
-        const std::uint32_t rank =
-                account_ && account_->rank ? *account_->rank : route_->rank;
+        const std::uint32_t rank = account_ && account_->rank ? *account_->rank : route_->rank;
         dispatch.urgency = std::min(rank * proxy::kUrgencyPerRank, proxy::kMaxUrgency);
     }
     dispatch.resumeAfter = splice_.lastEvent();
@@ -340,8 +338,8 @@
         attempt_->hasEvent = true;
         attempt_->firstEventAt = attempt_->progressAt;
         const core::Duration latency = attempt_->progressAt - attempt_->sentAt;
-        plane_.monitor.answered(attempt_->endpoint.id, latency,
-                                plane_.usualLatency(route_->name), attempt_->progressAt);
+        plane_.monitor.answered(attempt_->endpoint.id, latency, plane_.usualLatency(route_->name),
+                                attempt_->progressAt);
         plane_.noteOutcome(attempt_->endpoint, route_->name, true, latency);
     }
     if (!began_) {
@@ -368,8 +366,7 @@
     }
     const core::Instant now = plane_.clock.now();
     const core::Duration latency = now - attempt_->sentAt;
-    plane_.monitor.answered(attempt_->endpoint.id, latency, plane_.usualLatency(route_->name),
-                            now);
+    plane_.monitor.answered(attempt_->endpoint.id, latency, plane_.usualLatency(route_->name), now);
     plane_.noteOutcome(attempt_->endpoint, route_->name, true, latency);
     ++plane_.counts.answered;
     session_->respond({attempt_->head.status, answerFields(), std::move(attempt_->body)});
@@ -387,8 +384,7 @@
         plane_.noteOutcome(attempt_->endpoint, route_->name, false, now - attempt_->sentAt);
         plane_.monitor.failed(attempt_->endpoint.id, false, now);
     }
-    const bool mayRetry = isServerError && route_->isIdempotent()
-                          && attempts_ < route_->maxAttempts
+    const bool mayRetry = isServerError && route_->isIdempotent() && attempts_ < route_->maxAttempts
                           && deadlineAt_ - now > proxy::kLeastTime
                           && plane_.budget(service_).tryRetry(now);
     if (mayRetry) {
@@ -473,8 +469,7 @@
                             && attempts_ < route_->maxAttempts
                             && connectFailures_ <= proxy::kMaxConnectFailures;
     // A sending of which no byte left takes nothing from the budget.
-    const bool isAllowed =
-            isPossible && (!arrived || plane_.budget(service_).tryRetry(now));
+    const bool isAllowed = isPossible && (!arrived || plane_.budget(service_).tryRetry(now));
     LogLine(plane_.log, LogKind::Attempt)
             .add("id", meta_.id.value())
             .add("cause", cause)
@@ -532,10 +527,9 @@
 {
     ++plane_.counts.refused;
     ++plane_.refusals[refusal];
-    const bool mayComeBack = refusal == core::Refusal::NotReady
-                             || refusal == core::Refusal::NoEndpoint
-                             || refusal == core::Refusal::NotRun
-                             || refusal == core::Refusal::Overloaded;
+    const bool mayComeBack =
+            refusal == core::Refusal::NotReady || refusal == core::Refusal::NoEndpoint
+            || refusal == core::Refusal::NotRun || refusal == core::Refusal::Overloaded;
     const net::HttpResponseMessage response = Dialect::encodeRefusal(
             refusal, mayComeBack ? proxy::kRetryAfter : core::Duration::zero());
     session_->respond(response);
@@ -569,8 +563,8 @@
     if (attempt_) {
         line.add("endpoint", attempt_->endpoint.id.value())
                 .add("version", attempt_->endpoint.version.value())
-                .add("busy", static_cast<std::int64_t>(
-                                     plane_.monitor.busy(attempt_->endpoint.id, now)));
+                .add("busy",
+                     static_cast<std::int64_t>(plane_.monitor.busy(attempt_->endpoint.id, now)));
         if (!route_->models.empty())
             line.add("model", route_->models[model_].value());
         if (attempt_->hasEvent)
@@ -599,8 +593,8 @@
 template<TrafficDialect Dialect>
 core::Instant ProxyRequest<Dialect>::stallsAt() const
 {
-    const bool mayGoElsewhere = attempt_ && route_->isIdempotent()
-                                && attempts_ < route_->maxAttempts;
+    const bool mayGoElsewhere =
+            attempt_ && route_->isIdempotent() && attempts_ < route_->maxAttempts;
     return mayGoElsewhere ? attempt_->progressAt + patience() : deadlineAt_;
 }
 
@@ -614,8 +608,7 @@
                         proxy::scaled(route_->latencyObjective, proxy::kPlainPatienceObjectives));
     }
     if (!attempt_->hasEvent) {
-        return std::max(usual,
-                        proxy::scaled(route_->latencyObjective, proxy::kPatienceObjectives));
+        return std::max(usual, proxy::scaled(route_->latencyObjective, proxy::kPatienceObjectives));
     }
     if (route_->gapObjective == core::Duration::zero())
         return proxy::kDefaultGap;
--- a/app/replica_driver.cpp
+++ b/app/replica_driver.cpp
@@ -81,9 +81,8 @@
 
 } // namespace
 
-Result<std::unique_ptr<ReplicaDriver>> ReplicaDriver::open(asio::io_context &io,
-                                                           const ReplicaSettings &settings,
-                                                           ReplicaHooks hooks)
+Result<std::unique_ptr<ReplicaDriver>>
+ReplicaDriver::open(asio::io_context &io, const ReplicaSettings &settings, ReplicaHooks hooks)
 {
     std::error_code error;
     std::filesystem::create_directories(settings.folder, error);
@@ -91,12 +90,9 @@
         return AppFailure{AppError::StorageFailed, settings.folder.string() + error.message()};
     const auto isSelf = [&](const core::VmId &seed) { return seed == settings.self; };
     const bool founds =
-            settings.mayFound
-            && std::any_of(settings.seeds.begin(), settings.seeds.end(), isSelf);
-    const auto fresh =
-            static_cast<std::uint64_t>(BootClock().wallNow().time_since_epoch().count());
-    const core::Incarnation incarnation =
-            founds ? kFoundingIncarnation : core::Incarnation(fresh);
+            settings.mayFound && std::any_of(settings.seeds.begin(), settings.seeds.end(), isSelf);
+    const auto fresh = static_cast<std::uint64_t>(BootClock().wallNow().time_since_epoch().count());
+    const core::Incarnation incarnation = founds ? kFoundingIncarnation : core::Incarnation(fresh);
     store::StoreLimits limits;
     limits.segmentBytes = kSegmentBytes;
     store::Result<store::ReplicaStore> store =
@@ -285,9 +281,8 @@
     snapshot.meta = action.meta;
     snapshot.data = hooks_.save();
     const auto saved = std::make_shared<const core::Snapshot>(std::move(snapshot));
-    writes_.emplace_back([saved](store::ReplicaStore &store) {
-        return store.saveSnapshot(kGroup, *saved);
-    });
+    writes_.emplace_back(
+            [saved](store::ReplicaStore &store) { return store.saveSnapshot(kGroup, *saved); });
     saved_.push_back(saved);
 }
 
--- a/app/replica_driver.h
+++ b/app/replica_driver.h
@@ -53,9 +53,8 @@
 public:
     using Done = std::function<void(core::ProposalOutcome)>;
 
-    static Result<std::unique_ptr<ReplicaDriver>> open(boost::asio::io_context &io,
-                                                       const ReplicaSettings &settings,
-                                                       ReplicaHooks hooks);
+    static Result<std::unique_ptr<ReplicaDriver>>
+    open(boost::asio::io_context &io, const ReplicaSettings &settings, ReplicaHooks hooks);
 
     // Starts the timers. Hooks are called from here on.
     void start();
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -38,9 +38,8 @@
 
 } // namespace
 
-Result<std::unique_ptr<SiteControl>> SiteControl::open(asio::io_context &io,
-                                                       const SiteSettings &settings,
-                                                       StructuredLog &log)
+Result<std::unique_ptr<SiteControl>>
+SiteControl::open(asio::io_context &io, const SiteSettings &settings, StructuredLog &log)
 {
     std::unique_ptr<SiteControl> control(new SiteControl(io, settings, log));
     SiteControl *self = control.get();
@@ -88,15 +87,13 @@
 Result<void> SiteControl::start()
 {
     net::FrameHandlers handlers;
-    handlers.frame = [this](net::FrameLink &link, std::string_view frame) {
-        onFrame(link, frame);
-    };
+    handlers.frame = [this](net::FrameLink &link, std::string_view frame) { onFrame(link, frame); };
     handlers.lost = [this](net::FrameLink &link) { accepted_.erase(&link); };
-    const net::Result<void> listening = net::acceptLinks(
-            io_, settings_.linkAddress(settings_.vm), handlers,
-            [this](const std::shared_ptr<net::FrameLink> &link) {
-                accepted_[link.get()].link = link;
-            });
+    const net::Result<void> listening =
+            net::acceptLinks(io_, settings_.linkAddress(settings_.vm), handlers,
+                             [this](const std::shared_ptr<net::FrameLink> &link) {
+                                 accepted_[link.get()].link = link;
+                             });
     if (!listening)
         return fromNet(listening.error());
     driver_->start();
@@ -152,21 +149,21 @@
         return;
     }
     const core::Instant began = clock_.now();
-    driver_->propose(net::encodeCommand(command),
-                     [this, what, answered, began](core::ProposalOutcome outcome) {
-                         const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                 clock_.now() - began);
-                         LogLine(log_, LogKind::Config)
-                                 .add("order", what)
-                                 .add("outcome", core::nameOf(outcome))
-                                 .add("took_ms", took.count());
-                         core::ControlAnswer answer;
-                         if (outcome == core::ProposalOutcome::Committed)
-                             answer.status = core::ControlStatus::Done;
-                         else
-                             answer.problem = core::nameOf(outcome);
-                         answered(answer);
-                     });
+    driver_->propose(net::encodeCommand(command), [this, what, answered,
+                                                   began](core::ProposalOutcome outcome) {
+        const auto took =
+                std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - began);
+        LogLine(log_, LogKind::Config)
+                .add("order", what)
+                .add("outcome", core::nameOf(outcome))
+                .add("took_ms", took.count());
+        core::ControlAnswer answer;
+        if (outcome == core::ProposalOutcome::Committed)
+            answer.status = core::ControlStatus::Done;
+        else
+            answer.problem = core::nameOf(outcome);
+        answered(answer);
+    });
 }
 
 void SiteControl::answer(const core::ReplaceConfigCall &call, const Answered &answered)
@@ -383,8 +380,8 @@
 
 void SiteControl::take(Peer & /*peer*/, const core::ReplicaMessage &message)
 {
-    // The sender can be answered over an own link only, and may be unknown: a leader to a VM that has
-    // lost its disk, or a VM that asks to join.
+    // The sender can be answered over an own link only, and may be unknown: a leader to a VM that
+    // has lost its disk, or a VM that asks to join.
     const core::VmId &from = message.from.vm;
     directory_.heardOf(from, clock_.now());
     if (!dialled_.contains(from))
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -35,9 +35,8 @@
 public:
     using Answered = std::function<void(core::ControlAnswer)>;
 
-    static Result<std::unique_ptr<SiteControl>> open(boost::asio::io_context &io,
-                                                     const SiteSettings &settings,
-                                                     StructuredLog &log);
+    static Result<std::unique_ptr<SiteControl>>
+    open(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log);
 
     // Connects to the other processes and begins to take part.
     Result<void> start();
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -92,8 +92,7 @@
 {
     const core::Instant now = clock_.now();
     currency_.asked(++nonce_, now);
-    const std::string bytes =
-            net::encodeMessage(core::CurrencyProbe{nonce_, state_.revision});
+    const std::string bytes = net::encodeMessage(core::CurrencyProbe{nonce_, state_.revision});
     for (auto &[vm, control] : links_) {
         if (control.link->isOpen() && now - control.heardAt > kLinkSilence) {
             control.heardAt = now;
--- a/app/site_process.cpp
+++ b/app/site_process.cpp
@@ -18,8 +18,7 @@
                     return;
                 }
                 render([session](std::string text) {
-                    session->respond(
-                            {200, {{"Content-Type", "text/plain; version=0.0.4"}}, text});
+                    session->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, text});
                 });
             });
     if (!sessions)
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -89,13 +89,13 @@
         if (!callers)
             return fromNet(callers.error());
         callers_ = callers.value();
-        const auto readiness = net::acceptSessions(
-                io_, settings_.readinessAddress, net::SessionLimits{},
-                [this](const std::shared_ptr<net::ServerSession> &session,
-                       const net::HttpRequestMessage &request) {
-                    session->respond(
-                            Dialect::answerReadiness(request, !stopping_ && entry_.isReady()));
-                });
+        const auto readiness =
+                net::acceptSessions(io_, settings_.readinessAddress, net::SessionLimits{},
+                                    [this](const std::shared_ptr<net::ServerSession> &session,
+                                           const net::HttpRequestMessage &request) {
+                                        session->respond(Dialect::answerReadiness(
+                                                request, !stopping_ && entry_.isReady()));
+                                    });
         if (!readiness)
             return fromNet(readiness.error());
         BOOST_OUTCOME_TRYV(serveMetrics(io_, settings_.metricsAddress, [this](const auto &done) {
@@ -157,9 +157,8 @@
     {
         workTimer_.expires_after(kWorkPeriod);
         workTimer_.async_wait([this](const boost::system::error_code &) {
-            boost::asio::post(io_, [this, report = plane_.monitor.ownWork()] {
-                entry_.tellLeader(report);
-            });
+            boost::asio::post(
+                    io_, [this, report = plane_.monitor.ownWork()] { entry_.tellLeader(report); });
             exchangeWork();
         });
     }
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -89,8 +89,8 @@
     if (found != budgets_.end())
         return found->second;
     return budgets_
-            .emplace(service, core::RetryBudget(settings.vm, processLife(clock),
-                                                settings.retryPermille))
+            .emplace(service,
+                     core::RetryBudget(settings.vm, processLife(clock), settings.retryPermille))
             .first->second;
 }
 
@@ -121,16 +121,15 @@
                                int change)
 {
     core::OutcomeCount &count = outcomes_[{endpoint.service, endpoint.version, route}];
-    count.outstanding = static_cast<std::uint32_t>(
-            std::max(0, static_cast<int>(count.outstanding) + change));
+    count.outstanding =
+            static_cast<std::uint32_t>(std::max(0, static_cast<int>(count.outstanding) + change));
 }
 
 std::optional<core::VersionName> TrafficPlane::pinned(const core::SessionId &session,
                                                       core::Instant now) const
 {
     const auto found = pins_.find(session);
-    const bool isRecent =
-            found != pins_.end() && now - found->second.at < settings.sessionTtl;
+    const bool isRecent = found != pins_.end() && now - found->second.at < settings.sessionTtl;
     return isRecent ? std::optional(found->second.version) : std::nullopt;
 }
 
@@ -155,8 +154,7 @@
     core::OutcomeReport report;
     for (auto it = outcomes_.begin(); it != outcomes_.end();) {
         core::OutcomeCount &count = it->second;
-        const bool isEmpty =
-                count.good + count.bad + count.slow + count.outstanding == 0;
+        const bool isEmpty = count.good + count.bad + count.slow + count.outstanding == 0;
         if (isEmpty) {
             it = outcomes_.erase(it);
             continue;
@@ -175,9 +173,8 @@
 {
     pool.expire();
     const core::Instant now = clock.now();
-    std::erase_if(pins_, [&](const auto &pin) {
-        return now - pin.second.at >= settings.sessionTtl;
-    });
+    std::erase_if(pins_,
+                  [&](const auto &pin) { return now - pin.second.at >= settings.sessionTtl; });
 }
 
 std::string TrafficPlane::metrics() const
--- a/core/endpoint_monitor.cpp
+++ b/core/endpoint_monitor.cpp
@@ -71,8 +71,7 @@
 double EndpointMonitor::unreadTokens(const EndpointId &id, Instant now) const
 {
     const auto found = seen_.find(id);
-    const double own =
-            found == seen_.end() ? 0 : static_cast<double>(found->second.unreadTokens);
+    const double own = found == seen_.end() ? 0 : static_cast<double>(found->second.unreadTokens);
     const EndpointWork *others = othersAt(id, now);
     return own + (others ? others->unreadTokens : 0);
 }
@@ -112,8 +111,7 @@
 void EndpointMonitor::rest(Seen &seen, Instant now) const
 {
     const unsigned doublings = std::min(seen.failedInRow - 1, kMaxDoublings);
-    seen.restsUntil =
-            now + std::min(policy_.firstRest * (1U << doublings), policy_.longestRest);
+    seen.restsUntil = now + std::min(policy_.firstRest * (1U << doublings), policy_.longestRest);
 }
 
 void EndpointMonitor::wasFull(const EndpointId &id, Instant now)
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -59,9 +59,8 @@
     {}
 
     // Without an endpoint if there is no candidate.
-    [[nodiscard]] Pick
-    pick(const std::vector<const EndpointRecord *> &candidates, const PickAsk &ask,
-         const EndpointMonitor &monitor, Instant now) const;
+    [[nodiscard]] Pick pick(const std::vector<const EndpointRecord *> &candidates,
+                            const PickAsk &ask, const EndpointMonitor &monitor, Instant now) const;
 
 private:
     [[nodiscard]] double distance(const DataCentreId &other) const;
--- a/core/endpoint_registry.h
+++ b/core/endpoint_registry.h
@@ -25,7 +25,8 @@
 
 namespace fireflyroute::core {
 
-// Ready: takes work. Draining: finishes what it has. Gone: ended, or its address belongs to another.
+// Ready: takes work. Draining: finishes what it has. Gone: ended, or its address belongs to
+// another.
 enum class EndpointState { Ready, Draining, Gone };
 
 template<>
--- a/core/model_choice.h
+++ b/core/model_choice.h
@@ -62,9 +62,9 @@
     {
         if (model + 1 >= route.models.size())
             return true;
-        const double part = static_cast<double>(expected.count())
-                            / static_cast<double>(std::max<Duration::rep>(
-                                    route.latencyObjective.count(), 1));
+        const double part =
+                static_cast<double>(expected.count())
+                / static_cast<double>(std::max<Duration::rep>(route.latencyObjective.count(), 1));
         const double ease = std::clamp((1 - part) / (1 - policy_.easyPart), 0.0, 1.0);
         return confidence >= policy_.minConfidence * ease;
     }
--- a/core/replica.h
+++ b/core/replica.h
@@ -22,8 +22,8 @@
 // Life of a group: its first members start with newGroup() holding all of them as voters, or one VM
 // does so alone. Every other VM starts with an empty RecoveredReplica and `seeds`: it asks to join,
 // becomes a learner, catches up, and then becomes a voter by itself, up to MembershipPolicy. A VM
-// that lost its data folder does the same under a larger Incarnation; its earlier life is removed on
-// the way. A voter that is lost for good gives its place to a spare learner.
+// that lost its data folder does the same under a larger Incarnation; its earlier life is removed
+// on the way. A voter that is lost for good gives its place to a spare learner.
 
 #ifndef FIREFLYROUTE_CORE_REPLICA_H
 #define FIREFLYROUTE_CORE_REPLICA_H
--- a/core/replica_progress.cpp
+++ b/core/replica_progress.cpp
@@ -15,8 +15,7 @@
 // The largest value that a majority of the voters has reached, and at least `minVoters` of them if
 // there are so many. `valueOf` gives a voter's value.
 template<typename Value, typename ValueOf>
-Value majorityValue(const Membership &membership, const ValueOf &valueOf,
-                    std::size_t minVoters = 1)
+Value majorityValue(const Membership &membership, const ValueOf &valueOf, std::size_t minVoters = 1)
 {
     std::vector<Value> values;
     for (const Member &member : membership.members) {
--- a/core/rollout_judge.cpp
+++ b/core/rollout_judge.cpp
@@ -43,8 +43,7 @@
     targets_[rollout.service] = rollout.target;
     const std::int64_t passed = wallNow.time_since_epoch().count() - rollout.orderedAtMs;
     const auto most = static_cast<std::int64_t>(rollout.durationMs * kMaxInheritedPart);
-    watch.startedAt =
-            now - std::chrono::milliseconds(std::clamp<std::int64_t>(passed, 0, most));
+    watch.startedAt = now - std::chrono::milliseconds(std::clamp<std::int64_t>(passed, 0, most));
     return watch;
 }
 
--- a/core/site_config.cpp
+++ b/core/site_config.cpp
@@ -27,8 +27,8 @@
     for (const WeightedService &one : route.services) {
         weights += one.weight;
         if (!services.contains(one.service))
-            return invalid(fmt::format("route {}: unknown service {}", route.name,
-                                       one.service.value()));
+            return invalid(
+                    fmt::format("route {}: unknown service {}", route.name, one.service.value()));
     }
     if (weights == 0)
         return invalid(fmt::format("route {}: the weights add up to 0", route.name));
--- /dev/null
+++ b/core/testing/endpoint_pick_test.cpp
@@ -0,0 +1,140 @@
+// What an entry sees of endpoints, and which one it picks.
+
+#define BOOST_TEST_MODULE endpoint_pick
+#include "core/endpoint_pick.h"
+#include "core/model_choice.h"
+#include "core/work_exchange.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace fireflyroute::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant kStart{1h};
+const DataCentreId kHere("nairobi-a");
+const DataCentreId kThere("kisumu-a");
+
+struct Fixture
+{
+    Fixture()
+    {
+        for (const char *id : {"a", "b", "c"})
+            add(id, kHere);
+    }
+
+    void add(const std::string &id, const DataCentreId &dataCentre)
+    {
+        EndpointRecord record;
+        record.id = EndpointId(id);
+        record.dataCentre = dataCentre;
+        record.slots = 64;
+        records.push_back(std::make_unique<EndpointRecord>(record));
+        candidates.push_back(records.back().get());
+    }
+
+    std::string pick(const PickAsk &ask)
+    {
+        const Pick picked = picker.pick(candidates, ask, monitor, kStart);
+        return picked.endpoint ? picked.endpoint->id.value() : "none";
+    }
+
+    std::vector<std::unique_ptr<EndpointRecord>> records;
+    std::vector<const EndpointRecord *> candidates;
+    EndpointMonitor monitor;
+    EndpointPicker picker{kHere, {{kHere, "nairobi"}, {kThere, "kisumu"}}};
+    std::vector<PromptPart> prompt{{1, 500}, {2, 4000}, {3, 600}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(requests_that_share_a_prompt_meet_on_one_endpoint, Fixture)
+{
+    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    prompt.back().id = 99; // another request's own part
+    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) == owner);
+}
+
+BOOST_FIXTURE_TEST_CASE(shared_prompts_spread_over_the_endpoints, Fixture)
+{
+    std::set<std::string> owners;
+    for (std::uint64_t subject = 10; subject < 40; ++subject) {
+        prompt[1].id = subject;
+        owners.insert(pick({.prompt = &prompt, .model = ModelName("m")}));
+    }
+    BOOST_TEST(owners.size() == candidates.size());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_busy_owner_is_passed_over, Fixture)
+{
+    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    monitor.sent(EndpointId(owner), 30'000);
+    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) != owner);
+    monitor.began(EndpointId(owner), 30'000);
+    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) == owner);
+}
+
+BOOST_FIXTURE_TEST_CASE(work_of_other_entries_counts, Fixture)
+{
+    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    WorkExchange exchange(1s);
+    exchange.receive(VmId("other"), {{{EndpointId(owner), 20, 30'000}}}, kStart);
+    BOOST_TEST(exchange.othersOf(VmId("other"), kStart).work.empty());
+    monitor.heardOthers(exchange.othersOf(VmId("own"), kStart), kStart);
+    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) != owner);
+    BOOST_TEST(monitor.busy(EndpointId(owner), kStart) == 20);
+    BOOST_TEST(exchange.othersOf(VmId("own"), kStart + 2s).work.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(plain_requests_stay_near_until_it_is_full_here, Fixture)
+{
+    candidates.clear();
+    add("near", kHere);
+    add("far", kThere);
+    records.back()->slots = 6;
+    records[records.size() - 2]->slots = 6;
+    BOOST_TEST(pick({}) == "near");
+    for (int i = 0; i < 12; ++i)
+        monitor.sent(EndpointId("near"), 0);
+    BOOST_TEST(pick({}) == "far");
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_rests_after_failures_and_is_tried_by_one_request)
+{
+    EndpointMonitor monitor;
+    const EndpointId id("a");
+    monitor.failed(id, true, kStart);
+    BOOST_TEST(!monitor.isUsable(id, kStart + 300ms));
+    BOOST_TEST(monitor.isUsable(id, kStart + 500ms));
+    monitor.sent(id, 0);
+    BOOST_TEST(!monitor.isUsable(id, kStart + 500ms));
+    monitor.answered(id, 10ms, 10ms, kStart + 600ms);
+    BOOST_TEST(monitor.isUsable(id, kStart + 600ms));
+}
+
+BOOST_AUTO_TEST_CASE(one_failed_answer_is_no_reason_to_rest)
+{
+    EndpointMonitor monitor;
+    const EndpointId id("a");
+    monitor.failed(id, false, kStart);
+    BOOST_TEST(monitor.isUsable(id, kStart));
+    monitor.failed(id, false, kStart);
+    BOOST_TEST(!monitor.isUsable(id, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(a_doubtful_answer_is_replaced_only_in_good_time)
+{
+    const ModelChooser chooser;
+    Route route;
+    route.models = {ModelName("s"), ModelName("m"), ModelName("l")};
+    route.latencyObjective = 1s;
+    BOOST_TEST(chooser.first(route) == 0U);
+    BOOST_TEST(chooser.next(route, 0) == 2U);
+    BOOST_TEST(!chooser.keeps(route, 0, 40, 100ms));
+    BOOST_TEST(chooser.keeps(route, 0, 80, 100ms));
+    BOOST_TEST(chooser.keeps(route, 0, 40, 900ms));
+    BOOST_TEST(chooser.keeps(route, 0, 0, 1200ms));
+    BOOST_TEST(chooser.keeps(route, 2, 0, 100ms));
+}
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -243,8 +243,7 @@
     state.headDone = true;
     state.head.status = state.parser.get().result_int();
     for (const auto &field : state.parser.get()) {
-        state.head.fields.push_back(
-                {std::string(field.name_string()), std::string(field.value())});
+        state.head.fields.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     if (const std::string *value = findField(state.head.fields, "keep-alive"))
         keepAlive_ = readKeepAlive(*value).value_or(keepAlive_);
@@ -252,8 +251,8 @@
 
 void EndpointConnection::onEndOfStream()
 {
-    const bool endsByClose = headSeen_ && !skipping_ && parser_->parser.need_eof()
-                             && !parser_->parser.is_done();
+    const bool endsByClose =
+            headSeen_ && !skipping_ && parser_->parser.need_eof() && !parser_->parser.is_done();
     reusable_ = false;
     if (endsByClose)
         complete(AnswerEnd::ByClose);
--- a/net/frame_link.cpp
+++ b/net/frame_link.cpp
@@ -115,12 +115,11 @@
 {
     if (!open_)
         return;
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this(),
-                        generation = generation_](const error_code &error) {
-                           if (!error && self->open_ && self->generation_ == generation)
-                               self->onReadable();
-                       });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
+                                                generation = generation_](const error_code &error) {
+        if (!error && self->open_ && self->generation_ == generation)
+            self->onReadable();
+    });
 }
 
 void FrameLink::onReadable()
@@ -180,8 +179,8 @@
     writing_ = true;
     outgoing_ = std::exchange(output_, {});
     asio::async_write(socket_, asio::buffer(outgoing_),
-                      [self = shared_from_this(),
-                       generation = generation_](const error_code &error, std::size_t) {
+                      [self = shared_from_this(), generation = generation_](const error_code &error,
+                                                                            std::size_t) {
                           if (self->generation_ != generation || !self->open_)
                               return;
                           self->writing_ = false;
@@ -226,12 +225,12 @@
                          const FrameHandlers &handlers,
                          std::function<void(const std::shared_ptr<FrameLink> &)> accepted)
 {
-    return acceptConnections(
-            io, address, [&io, handlers, accepted = std::move(accepted)](tcp::socket socket) {
-                const auto link = std::make_shared<FrameLink>(io, handlers);
-                accepted(link);
-                link->adopt(std::move(socket));
-            });
+    return acceptConnections(io, address,
+                             [&io, handlers, accepted = std::move(accepted)](tcp::socket socket) {
+                                 const auto link = std::make_shared<FrameLink>(io, handlers);
+                                 accepted(link);
+                                 link->adopt(std::move(socket));
+                             });
 }
 
 } // namespace fireflyroute::net
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHop{
-        "connection", "keep-alive", "proxy-connection",  "te",    "trailer",
-        "upgrade",    "expect",     "transfer-encoding", "content-length",
+        "connection", "keep-alive",        "proxy-connection", "te", "trailer", "upgrade",
+        "expect",     "transfer-encoding", "content-length",
 };
 
 char lower(char c)
@@ -63,8 +63,8 @@
 
 std::string encodeResponseHead(const HttpResponseHead &head)
 {
-    const auto reason = boost::beast::http::obsolete_reason(
-            boost::beast::http::int_to_status(head.status));
+    const auto reason =
+            boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(head.status));
     std::string out = fmt::format("HTTP/1.1 {} {}\r\n", head.status,
                                   std::string_view(reason.data(), reason.size()));
     appendFields(out, head.fields);
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -120,9 +120,10 @@
 
 // Listens on "IP:PORT" and starts a session for each connection, for as long as the io_context
 // runs. `closing` is set and idle sessions are closed by closeGently().
-[[nodiscard]] Result<std::shared_ptr<SessionGroup>>
-acceptSessions(boost::asio::io_context &io, const std::string &address, const SessionLimits &limits,
-               SessionHandler handler);
+[[nodiscard]] Result<std::shared_ptr<SessionGroup>> acceptSessions(boost::asio::io_context &io,
+                                                                   const std::string &address,
+                                                                   const SessionLimits &limits,
+                                                                   SessionHandler handler);
 
 // Lets the connections of a group end: each answer says so, and idle ones are closed.
 void closeGently(SessionGroup &group);
