Weigh what is billed in the choice of an endpoint, and look at an answer's length before a larger model

Ruled out: the canary (0.5 of the time); processor of entries (0.01 of a core). Changes: an owner by the last shared part, bytes between regions and rereading in the cost; a probe as soon as a link is open, elections in 0.55 to 0.95 s; Retry-After 1.3 s while not ready; slowness by the pace of events; no larger model where its answer would not end within 0.75 of the time.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -65,6 +65,7 @@
         core::Instant sentAt;
         core::Instant progressAt; // when the endpoint last showed a sign of this request
         core::Instant firstEventAt; // meaningful if hasEvent
+        std::uint32_t events = 0; // relayed from it
         bool hasHead = false;
         bool hasEvent = false;
     };
@@ -90,6 +91,8 @@
 
     [[nodiscard]] bool isSound(const Attempt &attempt) const;
     [[nodiscard]] bool escalates() const;
+    [[nodiscard]] core::ExpectedAnswer expectedOf(std::size_t model, double aheadMs,
+                                                  core::Instant now) const;
     [[nodiscard]] core::Pick pickFor(std::size_t model, core::Instant now) const;
     void escalate();
     void notRun();
@@ -98,6 +101,7 @@
     void retryOrGiveUp(core::Ran ran, std::string_view cause);
     void passOn();
     void finishStream();
+    void notePace();
     void giveUp(std::string_view cause);
     void refuse(core::Refusal refusal);
     void finish(std::string_view outcome, unsigned status);
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -21,8 +21,10 @@
 // Less time than this is not worth a sending.
 constexpr std::chrono::milliseconds kLeastTime{10};
 
-// When a caller may come back after a refusal.
+// When a caller may come back after a refusal. An entry that can't prove its state waits for an
+// election or its first connections, which takes about a second.
 constexpr std::chrono::milliseconds kRetryAfter{300};
+constexpr std::chrono::milliseconds kRetryAfterNotReady{1300};
 
 // How long an endpoint may show no sign of an idempotent request before it is sent elsewhere, in
 // parts of the route's objective, and in usual latencies.
@@ -36,6 +38,15 @@
 constexpr std::uint32_t kUrgencyPerRank = 3;
 constexpr std::uint32_t kMaxUrgency = 9;
 
+// Bytes of a stream for each token, framing included; for the choice of an endpoint only.
+constexpr double kBytesPerToken = 10;
+
+// Tokens of an answer, in parts of the most that the caller takes, where it gives no estimate.
+constexpr double kUsualPartOfMax = 0.35;
+
+// Events from which on a stream tells how fast its endpoint is.
+constexpr std::uint32_t kPaceEvents = 6;
+
 constexpr unsigned kFirstFailureStatus = 300;
 constexpr unsigned kFirstServerError = 500;
 
@@ -156,6 +167,8 @@
 core::PickAsk ProxyRequest<Dialect>::ask(std::size_t model) const
 {
     core::PickAsk ask;
+    ask.bytes = static_cast<double>(request_.body.size())
+                + proxy::kBytesPerToken * meta_.maxOutputTokens;
     if (!meta_.prompt.empty())
         ask.prompt = &meta_.prompt;
     const core::Service *service = table_->service(service_);
@@ -266,10 +279,26 @@
     const core::Pick pick = pickFor(plane_.models.next(*route_, model_), now);
     if (!pick.endpoint)
         return false;
-    const std::chrono::duration<double, std::milli> ahead(pick.expectedMs);
-    const core::Duration expected =
-            now - arrivedAt_ + std::chrono::duration_cast<core::Duration>(ahead);
-    return !plane_.models.keeps(*route_, model_, *attempt_->meta.confidence, expected);
+    return !plane_.models.keeps(*route_, model_, *attempt_->meta.confidence,
+                                expectedOf(plane_.models.next(*route_, model_), pick.expectedMs,
+                                           now));
+}
+
+// When that model's answer would be there if it were sent now.
+template<TrafficDialect Dialect>
+core::ExpectedAnswer ProxyRequest<Dialect>::expectedOf(std::size_t model, double aheadMs,
+                                                       core::Instant now) const
+{
+    const std::chrono::duration<double, std::milli> ahead(aheadMs);
+    core::ExpectedAnswer expected;
+    expected.deadline = deadlineAt_ - arrivedAt_;
+    expected.first = now - arrivedAt_ + std::chrono::duration_cast<core::Duration>(ahead);
+    const core::Service *service = table_->service(service_);
+    const std::uint32_t tokens = meta_.likelyOutputTokens.value_or(
+            static_cast<std::uint32_t>(meta_.maxOutputTokens * proxy::kUsualPartOfMax));
+    const std::uint32_t events = service ? tokens / std::max(service->eventTokens, 1U) : 0;
+    expected.whole = expected.first + events * plane_.usualPace(route_->models[model]);
+    return expected;
 }
 
 template<TrafficDialect Dialect>
@@ -329,8 +358,10 @@
             failAttempt(core::Ran::Yes, "gap in the stream", false);
             return;
         }
-        if (verdict == core::SpliceVerdict::Relay)
+        if (verdict == core::SpliceVerdict::Relay) {
             relayed += event.bytes;
+            ++attempt_->events;
+        }
     }
     if (relayed.empty())
         return;
@@ -338,8 +369,7 @@
         attempt_->hasEvent = true;
         attempt_->firstEventAt = attempt_->progressAt;
         const core::Duration latency = attempt_->progressAt - attempt_->sentAt;
-        plane_.monitor.answered(attempt_->endpoint.id, latency, plane_.usualLatency(route_->name),
-                                attempt_->progressAt);
+        plane_.monitor.answered(attempt_->endpoint.id, attempt_->progressAt);
         plane_.noteOutcome(attempt_->endpoint, route_->name, true, latency);
     }
     if (!began_) {
@@ -366,7 +396,12 @@
     }
     const core::Instant now = plane_.clock.now();
     const core::Duration latency = now - attempt_->sentAt;
-    plane_.monitor.answered(attempt_->endpoint.id, latency, plane_.usualLatency(route_->name), now);
+    const core::Duration usual = plane_.usualLatency(route_->name);
+    plane_.monitor.answered(attempt_->endpoint.id, now);
+    if (usual > core::Duration::zero()) {
+        plane_.monitor.paced(attempt_->endpoint.id, static_cast<double>(latency.count())
+                                                            / static_cast<double>(usual.count()));
+    }
     plane_.noteOutcome(attempt_->endpoint, route_->name, true, latency);
     ++plane_.counts.answered;
     session_->respond({attempt_->head.status, answerFields(), std::move(attempt_->body)});
@@ -421,6 +456,16 @@
     finish("answered", attempt_->head.status);
 }
 
+// How fast the endpoint made the events of this attempt.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::notePace()
+{
+    if (attempt_->events < proxy::kPaceEvents || route_->models.empty())
+        return;
+    plane_.notePace(attempt_->endpoint.id, route_->models[model_],
+                    (attempt_->progressAt - attempt_->firstEventAt) / (attempt_->events - 1));
+}
+
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::onFailed(const net::ExchangeFailure &failure)
 {
@@ -493,6 +538,7 @@
 {
     if (!attempt_)
         return;
+    notePace();
     if (!attempt_->hasHead)
         plane_.monitor.began(attempt_->endpoint.id, attempt_->unreadTokens);
     plane_.monitor.ended(attempt_->endpoint.id);
@@ -530,8 +576,11 @@
     const bool mayComeBack =
             refusal == core::Refusal::NotReady || refusal == core::Refusal::NoEndpoint
             || refusal == core::Refusal::NotRun || refusal == core::Refusal::Overloaded;
+    const core::Duration retryAfter = refusal == core::Refusal::NotReady
+                                              ? proxy::kRetryAfterNotReady
+                                              : proxy::kRetryAfter;
     const net::HttpResponseMessage response = Dialect::encodeRefusal(
-            refusal, mayComeBack ? proxy::kRetryAfter : core::Duration::zero());
+            refusal, mayComeBack ? retryAfter : core::Duration::zero());
     session_->respond(response);
     finish(core::nameOf(refusal), response.status);
 }
@@ -568,7 +617,9 @@
         if (!route_->models.empty())
             line.add("model", route_->models[model_].value());
         if (attempt_->hasEvent)
-            line.add("first_ms", proxy::toMillis(attempt_->firstEventAt - attempt_->sentAt));
+            line.add("events", attempt_->events)
+                    .add("likely_tokens", meta_.likelyOutputTokens.value_or(0))
+                    .add("first_ms", proxy::toMillis(attempt_->firstEventAt - attempt_->sentAt));
         if (attempt_->meta.confidence)
             line.add("confidence", static_cast<std::int64_t>(*attempt_->meta.confidence));
     }
--- a/app/replica_driver.cpp
+++ b/app/replica_driver.cpp
@@ -35,9 +35,9 @@
 {
     core::ReplicaTiming timing;
     // Above twice the round trip between regions (24 ms) with room for a lost packet.
-    timing.heartbeat = std::chrono::milliseconds(150);
-    timing.electionMin = std::chrono::milliseconds(700);
-    timing.electionMax = std::chrono::milliseconds(1200);
+    timing.heartbeat = std::chrono::milliseconds(120);
+    timing.electionMin = std::chrono::milliseconds(550);
+    timing.electionMax = std::chrono::milliseconds(950);
     timing.joinInterval = std::chrono::milliseconds(250);
     return timing;
 }
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -75,6 +75,7 @@
             links_[vm].heardAt = clock_.now();
             LogLine(log_, LogKind::Link).add("event", "regained").add("peer", vm.value());
             link.send(net::encodeMessage(core::Greeting{settings_.vm, true}));
+            link.send(net::encodeMessage(core::CurrencyProbe{nonce_, state_.revision}));
         };
         handlers.frame = [this, vm](net::FrameLink &, std::string_view frame) {
             onFrame(vm, frame);
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -13,6 +13,9 @@
 // Weight of the newest answer in the usual latency of a route.
 constexpr double kLatencyMemory = 0.05;
 
+// Events closer together than this tell nothing of an endpoint's speed.
+constexpr double kLeastPaceMs = 1;
+
 // An answer that takes so many times the usual counts as slow, if it is slower than kSlowFloor too.
 constexpr double kSlowFactor = 4;
 constexpr std::chrono::milliseconds kSlowFloor{150};
@@ -149,6 +152,24 @@
             std::chrono::duration<double, std::milli>(found->second));
 }
 
+void TrafficPlane::notePace(const core::EndpointId &endpoint, const core::ModelName &model,
+                            core::Duration perEvent)
+{
+    const std::chrono::duration<double, std::milli> taken = perEvent;
+    const auto [usual, isNew] = paceMs_.try_emplace(model, taken.count());
+    monitor.paced(endpoint, taken.count() / std::max(usual->second, kLeastPaceMs));
+    usual->second += kLatencyMemory * (taken.count() - usual->second);
+}
+
+core::Duration TrafficPlane::usualPace(const core::ModelName &model) const
+{
+    const auto found = paceMs_.find(model);
+    if (found == paceMs_.end())
+        return core::Duration::zero();
+    return std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double, std::milli>(found->second));
+}
+
 core::OutcomeReport TrafficPlane::takeOutcomes()
 {
     core::OutcomeReport report;
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -76,6 +76,13 @@
     // Usual time to the first part of an answer on a route.
     [[nodiscard]] core::Duration usualLatency(const std::string &route) const;
 
+    // Counts a stream of a model that took so long for each event.
+    void notePace(const core::EndpointId &endpoint, const core::ModelName &model,
+                  core::Duration perEvent);
+
+    // Usual time between two events of a model; 0 before the first stream.
+    [[nodiscard]] core::Duration usualPace(const core::ModelName &model) const;
+
     // The counts since the last call.
     [[nodiscard]] core::OutcomeReport takeOutcomes();
 
@@ -111,6 +118,7 @@
     std::map<OutcomeKey, core::OutcomeCount> outcomes_;
     std::unordered_map<core::SessionId, Pin> pins_;
     std::map<std::string, double> usualMs_; // moving average by route
+    std::map<core::ModelName, double> paceMs_; // moving average of the time between two events
 };
 
 } // namespace fireflyroute::app
--- a/core/endpoint_monitor.cpp
+++ b/core/endpoint_monitor.cpp
@@ -76,18 +76,18 @@
     return own + (others ? others->unreadTokens : 0);
 }
 
-void EndpointMonitor::answered(const EndpointId &id, Duration latency, Duration expected,
-                               Instant now)
+void EndpointMonitor::answered(const EndpointId &id, Instant now)
 {
     Seen &seen = seen_[id];
     seen.failedInRow = 0;
     seen.restsUntil.reset();
     seen.lastGood = now;
     seen.failures *= 1 - policy_.memory;
-    if (expected <= Duration::zero())
-        return;
-    const double ratio = static_cast<double>(latency.count())
-                         / static_cast<double>(std::max<Duration::rep>(expected.count(), 1));
+}
+
+void EndpointMonitor::paced(const EndpointId &id, double ratio)
+{
+    Seen &seen = seen_[id];
     seen.slowness += policy_.memory * (std::min(ratio, kMaxSample) - seen.slowness);
 }
 
--- a/core/endpoint_monitor.h
+++ b/core/endpoint_monitor.h
@@ -59,8 +59,11 @@
     // Prompt tokens that it has yet to read, from all entries.
     [[nodiscard]] double unreadTokens(const EndpointId &id, Instant now) const;
 
-    // The first part of a sound answer came. `expected` is what others take for such a request.
-    void answered(const EndpointId &id, Duration latency, Duration expected, Instant now);
+    // The first part of a sound answer came.
+    void answered(const EndpointId &id, Instant now);
+
+    // It took so many times as long as others for the same work.
+    void paced(const EndpointId &id, double ratio);
 
     void reported(const EndpointId &id, const EndpointLoad &load, Instant now);
 
--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -26,7 +26,8 @@
     return hash;
 }
 
-// Tokens of the parts that other requests share, and a hash of them with the model.
+// Tokens of the parts that other requests share, and a hash of the last of them with the model: the
+// parts before it are shared by many more and are cached nearly everywhere.
 struct SharedPrompt
 {
     std::uint64_t hash = 0;
@@ -38,11 +39,10 @@
     SharedPrompt shared;
     if (!ask.prompt || ask.prompt->size() < 2)
         return shared;
-    shared.hash = textHash(ask.model.value());
-    for (std::size_t i = 0; i + 1 < ask.prompt->size(); ++i) {
-        shared.hash = mix(shared.hash ^ (*ask.prompt)[i].id);
+    const std::size_t last = ask.prompt->size() - 2;
+    shared.hash = mix(textHash(ask.model.value()) ^ (*ask.prompt)[last].id);
+    for (std::size_t i = 0; i <= last; ++i)
         shared.tokens += (*ask.prompt)[i].tokens;
-    }
     return shared;
 }
 
@@ -66,7 +66,7 @@
 
 } // namespace
 
-double EndpointPicker::distance(const DataCentreId &other) const
+double EndpointPicker::distance(const DataCentreId &other, double bytes) const
 {
     if (other == own_)
         return 0;
@@ -74,7 +74,9 @@
     const auto there = regions_.find(other);
     const bool isSameRegion =
             own != regions_.end() && there != regions_.end() && own->second == there->second;
-    return isSameRegion ? weights_.otherDataCentre : weights_.otherRegion;
+    if (isSameRegion)
+        return weights_.otherDataCentre;
+    return weights_.otherRegion + weights_.perRegionByte * bytes;
 }
 
 double EndpointPicker::cost(const EndpointRecord &endpoint, const PickAsk &ask,
@@ -83,7 +85,7 @@
     const double slots = std::max<double>(endpoint.slots, 1);
     const double busy = monitor.busy(endpoint.id, now);
     const double slowness = monitor.slowness(endpoint.id);
-    double result = distance(endpoint.dataCentre);
+    double result = distance(endpoint.dataCentre, ask.bytes);
     if (ask.prompt) {
         result += weights_.perUnreadToken * monitor.unreadTokens(endpoint.id, now);
         result += weights_.perBusyShare * busy / slots;
@@ -108,14 +110,18 @@
             prompt += part.tokens;
     }
     Pick best;
-    best.expectedMs = std::numeric_limits<double>::max();
+    double least = std::numeric_limits<double>::max();
     for (const EndpointRecord *candidate : candidates) {
         const double kept = candidate == owner ? static_cast<double>(shared.tokens) : 0;
         const double unread = (prompt - kept) * ask.modelWeight;
         const double expected =
                 cost(*candidate, ask, monitor, now) + weights_.perUnreadToken * unread;
-        if (expected < best.expectedMs)
+        const double billed =
+                weights_.perRereadToken * (static_cast<double>(shared.tokens) - kept);
+        if (expected + billed < least) {
+            least = expected + billed;
             best = Pick{candidate, expected, static_cast<std::uint32_t>(unread)};
+        }
     }
     return best;
 }
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -20,12 +20,15 @@
 
 namespace fireflyroute::core {
 
-// Expected costs, in milliseconds of a request's time.
+// Expected costs, in milliseconds of a request's time; what is billed stands beside it at the same
+// scale.
 struct PickWeights
 {
     double perUnreadToken = 0.04; // of a prompt, on the largest model
+    double perRereadToken = 0.05; // of a shared part that its owner has read already: billed
     double otherDataCentre = 3;
-    double otherRegion = 45; // the round trip, and bytes that are billed
+    double otherRegion = 24; // the round trip
+    double perRegionByte = 0.008; // bytes between regions are billed
     double perBusyShare = 220; // of a model engine whose slots are all taken
     double perWaiting = 600; // for as many requests beyond the slots as there are slots
     double warmup = 400; // while the endpoint says that it is still slow
@@ -38,6 +41,7 @@
     ModelName model;
     double modelWeight = 1; // time that the model takes, in parts of the largest one's
     double workMs = 60; // usual time of such a request
+    double bytes = 0; // of the request and its answer, roughly
 };
 
 // The choice, and what follows from it.
@@ -63,7 +67,7 @@
                             const PickAsk &ask, const EndpointMonitor &monitor, Instant now) const;
 
 private:
-    [[nodiscard]] double distance(const DataCentreId &other) const;
+    [[nodiscard]] double distance(const DataCentreId &other, double bytes) const;
     [[nodiscard]] double cost(const EndpointRecord &endpoint, const PickAsk &ask,
                               const EndpointMonitor &monitor, Instant now) const;
 
--- a/core/model_choice.h
+++ b/core/model_choice.h
@@ -3,7 +3,7 @@
 //
 //   std::size_t model = chooser.first(route);
 //   ... the answer's head says that its model is 35 of 100 confident ...
-//   if (!chooser.keeps(route, model, 35, 400ms))
+//   if (!chooser.keeps(route, model, 35, {400ms, 3s, 20s}))
 //       model = chooser.next(route, model);
 
 #ifndef FIREFLYROUTE_CORE_MODEL_CHOICE_H
@@ -24,6 +24,16 @@
     // The bound falls once the larger model's answer is expected to take more than this part of the
     // route's objective, and is 0 when it is expected to miss it.
     double easyPart = 0.35;
+    // A larger model answers only if its whole answer is expected within this part of the time.
+    double longestPart = 0.75;
+};
+
+// When the answer of another model is expected, counted from the request's arrival.
+struct ExpectedAnswer
+{
+    Duration first{}; // its first part
+    Duration whole{};
+    Duration deadline{};
 };
 
 // What a model costs, in parts of the service's dearest one; 1 if it is not known.
@@ -55,15 +65,17 @@
         return route.models.size() - 1;
     }
 
-    // Whether the answer of a model with this confidence is delivered, if another one would be
-    // there `expected` after the request came.
+    // Whether the answer of a model with this confidence is delivered, rather than another one's.
     [[nodiscard]] bool keeps(const Route &route, std::size_t model, std::uint32_t confidence,
-                             Duration expected) const
+                             const ExpectedAnswer &other) const
     {
-        if (model + 1 >= route.models.size())
+        const bool isTooLong =
+                static_cast<double>(other.whole.count())
+                > policy_.longestPart * static_cast<double>(other.deadline.count());
+        if (model + 1 >= route.models.size() || isTooLong)
             return true;
         const double part =
-                static_cast<double>(expected.count())
+                static_cast<double>(other.first.count())
                 / static_cast<double>(std::max<Duration::rep>(route.latencyObjective.count(), 1));
         const double ease = std::clamp((1 - part) / (1 - policy_.easyPart), 0.0, 1.0);
         return confidence >= policy_.minConfidence * ease;
--- a/core/site_calls.h
+++ b/core/site_calls.h
@@ -43,6 +43,7 @@
     std::vector<PromptPart> prompt; // in order; the last one is the request's own
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
+    std::optional<std::uint32_t> likelyOutputTokens; // the caller's estimate, often far off
 };
 
 // One sending of a request to one endpoint.
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -85,6 +85,7 @@
     ServiceName name;
     std::uint32_t maxConnections = 0; // that one endpoint accepts; 0 means no limit
     std::uint64_t cacheTokens = 0; // memory of an endpoint, in tokens; 0 for a plain service
+    std::uint32_t eventTokens = 1; // in one event of a stream
     std::vector<ModelCost> models;
 
     bool operator==(const Service &) const = default;
--- a/core/testing/endpoint_pick_test.cpp
+++ b/core/testing/endpoint_pick_test.cpp
@@ -110,10 +110,18 @@
     BOOST_TEST(monitor.isUsable(id, kStart + 500ms));
     monitor.sent(id, 0);
     BOOST_TEST(!monitor.isUsable(id, kStart + 500ms));
-    monitor.answered(id, 10ms, 10ms, kStart + 600ms);
+    monitor.answered(id, kStart + 600ms);
     BOOST_TEST(monitor.isUsable(id, kStart + 600ms));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_slow_endpoint_is_passed_over, Fixture)
+{
+    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    for (int i = 0; i < 20; ++i)
+        monitor.paced(EndpointId(owner), 5);
+    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) != owner);
+}
+
 BOOST_AUTO_TEST_CASE(one_failed_answer_is_no_reason_to_rest)
 {
     EndpointMonitor monitor;
@@ -132,9 +140,14 @@
     route.latencyObjective = 1s;
     BOOST_TEST(chooser.first(route) == 0U);
     BOOST_TEST(chooser.next(route, 0) == 2U);
-    BOOST_TEST(!chooser.keeps(route, 0, 40, 100ms));
-    BOOST_TEST(chooser.keeps(route, 0, 80, 100ms));
-    BOOST_TEST(chooser.keeps(route, 0, 40, 900ms));
-    BOOST_TEST(chooser.keeps(route, 0, 0, 1200ms));
-    BOOST_TEST(chooser.keeps(route, 2, 0, 100ms));
+    const auto keeps = [&](std::size_t model, std::uint32_t confidence, Duration first) {
+        return chooser.keeps(route, model, confidence, {first, first + 2s, 10s});
+    };
+    BOOST_TEST(!keeps(0, 40, 100ms));
+    BOOST_TEST(keeps(0, 80, 100ms));
+    BOOST_TEST(keeps(0, 40, 900ms));
+    BOOST_TEST(keeps(0, 0, 1200ms));
+    BOOST_TEST(keeps(2, 0, 100ms));
+    // A long answer of the larger model would not end before the deadline.
+    BOOST_TEST(chooser.keeps(route, 0, 0, {100ms, 9s, 10s}));
 }
