Escalate less where it holds up others, and let requests wait while an entry starts

Changes: the bound falls with the usual work of the route times the mean backlog; requests of an entry in its first 2.5 s wait for the next change instead of a refusal; a run that was dropped for a larger model counts as run, so that no refusal denies it.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -72,6 +72,8 @@
 
     // What came of the request before it is sent anywhere; a refusal, or nothing.
     [[nodiscard]] std::optional<core::Refusal> prepare(core::Instant now);
+    void begin();
+    void waitForStart();
     void chooseService();
 
     void attempt();
@@ -90,9 +92,9 @@
     void onGone();
 
     [[nodiscard]] bool isSound(const Attempt &attempt) const;
-    [[nodiscard]] bool escalates() const;
-    [[nodiscard]] core::ExpectedAnswer expectedOf(std::size_t model, double aheadMs,
-                                                  core::Instant now) const;
+    [[nodiscard]] bool escalates();
+    [[nodiscard]] core::ExpectedAnswer expectedOf(std::size_t model, const core::Pick &pick,
+                                                  core::Instant now);
     [[nodiscard]] core::Pick pickFor(std::size_t model, core::Instant now) const;
     void escalate();
     void notRun();
@@ -132,6 +134,7 @@
     core::Ran ran_ = core::Ran::No; // over all sendings
     bool began_ = false; // the caller has a part of the answer
     bool done_ = false;
+    bool counted_ = false; // as a first attempt of its service
 };
 
 } // namespace fireflyroute::app
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -18,6 +18,9 @@
 // Connections that may fail before a request is refused; none of them carried a byte of it.
 constexpr std::uint32_t kMaxConnectFailures = 3;
 
+// How long a request waits for the next change while the process starts.
+constexpr std::chrono::milliseconds kStartWait{1500};
+
 // Less time than this is not worth a sending.
 constexpr std::chrono::milliseconds kLeastTime{10};
 
@@ -79,16 +82,47 @@
 void ProxyRequest<Dialect>::start()
 {
     ++plane_.counts.requests;
-    const std::optional<core::Refusal> refusal = prepare(arrivedAt_);
+    session_->whenGone([self = this->shared_from_this()] { self->onGone(); });
+    begin();
+}
+
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::begin()
+{
+    const core::Instant now = plane_.clock.now();
+    const std::optional<core::Refusal> refusal = prepare(now);
+    if (refusal == core::Refusal::NotReady && plane_.isStarting(now)) {
+        waitForStart();
+        return;
+    }
     if (refusal) {
         refuse(*refusal);
         return;
     }
-    session_->whenGone([self = this->shared_from_this()] { self->onGone(); });
-    plane_.budget(service_).firstAttempt(arrivedAt_);
+    if (!std::exchange(counted_, true))
+        plane_.budget(service_).firstAttempt(now);
     attempt();
 }
 
+// Tries again after each change of what the entry knows, and for the last time when the start
+// should be over.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::waitForStart()
+{
+    const auto again = [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->done_ && !self->attempt_)
+            self->begin();
+    };
+    plane_.awaitChange(again);
+    timer_.expires_after(proxy::kStartWait);
+    timer_.async_wait(
+            [self = this->shared_from_this(), again](const boost::system::error_code &error) {
+                if (!error)
+                    again();
+            });
+}
+
 template<TrafficDialect Dialect>
 std::optional<core::Refusal> ProxyRequest<Dialect>::prepare(core::Instant now)
 {
@@ -108,7 +142,7 @@
         if (!account_)
             return core::Refusal::UnknownKey;
     }
-    deadlineAt_ = now + std::min(meta_.deadline.value_or(route_->timeout), route_->timeout);
+    deadlineAt_ = arrivedAt_ + std::min(meta_.deadline.value_or(route_->timeout), route_->timeout);
     chooseService();
     model_ = plane_.models.first(*route_);
     return std::nullopt;
@@ -140,8 +174,11 @@
         return;
     }
     const core::Pick pick = pickFor(model_, now);
+    const bool isUntouched = attempts_ == 0 && connectFailures_ == 0;
     if (pick.endpoint)
         send(pick, now);
+    else if (isUntouched && plane_.isStarting(now))
+        waitForStart();
     else
         giveUp("no endpoint usable");
 }
@@ -269,7 +306,7 @@
 
 // Whether a larger model should answer instead, while the caller has nothing of this answer yet.
 template<TrafficDialect Dialect>
-bool ProxyRequest<Dialect>::escalates() const
+bool ProxyRequest<Dialect>::escalates()
 {
     const bool mayEscalate = !began_ && attempt_->meta.confidence && !route_->models.empty()
                              && attempts_ < route_->maxAttempts;
@@ -280,17 +317,18 @@
     if (!pick.endpoint)
         return false;
     return !plane_.models.keeps(*route_, model_, *attempt_->meta.confidence,
-                                expectedOf(plane_.models.next(*route_, model_), pick.expectedMs,
-                                           now));
+                                expectedOf(plane_.models.next(*route_, model_), pick, now));
 }
 
 // When that model's answer would be there if it were sent now.
 template<TrafficDialect Dialect>
-core::ExpectedAnswer ProxyRequest<Dialect>::expectedOf(std::size_t model, double aheadMs,
-                                                       core::Instant now) const
+core::ExpectedAnswer ProxyRequest<Dialect>::expectedOf(std::size_t model, const core::Pick &pick,
+                                                       core::Instant now)
 {
-    const std::chrono::duration<double, std::milli> ahead(aheadMs);
+    const std::chrono::duration<double, std::milli> ahead(pick.expectedMs);
     core::ExpectedAnswer expected;
+    expected.workMs = plane_.usualWork(route_->name, pick.workMs);
+    expected.backlogMs = pick.backlogMs;
     expected.deadline = deadlineAt_ - arrivedAt_;
     expected.first = now - arrivedAt_ + std::chrono::duration_cast<core::Duration>(ahead);
     const core::Service *service = table_->service(service_);
@@ -307,6 +345,7 @@
     const core::Instant now = plane_.clock.now();
     if (!plane_.budget(service_).tryRetry(now))
         return;
+    ran_ = core::Ran::Yes;
     ++plane_.counts.escalated;
     plane_.noteOutcome(attempt_->endpoint, route_->name, true, now - attempt_->sentAt);
     LogLine(plane_.log, LogKind::Attempt)
@@ -576,11 +615,10 @@
     const bool mayComeBack =
             refusal == core::Refusal::NotReady || refusal == core::Refusal::NoEndpoint
             || refusal == core::Refusal::NotRun || refusal == core::Refusal::Overloaded;
-    const core::Duration retryAfter = refusal == core::Refusal::NotReady
-                                              ? proxy::kRetryAfterNotReady
-                                              : proxy::kRetryAfter;
-    const net::HttpResponseMessage response = Dialect::encodeRefusal(
-            refusal, mayComeBack ? retryAfter : core::Duration::zero());
+    const core::Duration retryAfter =
+            refusal == core::Refusal::NotReady ? proxy::kRetryAfterNotReady : proxy::kRetryAfter;
+    const net::HttpResponseMessage response =
+            Dialect::encodeRefusal(refusal, mayComeBack ? retryAfter : core::Duration::zero());
     session_->respond(response);
     finish(core::nameOf(refusal), response.status);
 }
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -142,7 +142,10 @@
             boost::asio::post(traffic_, [this, view = std::move(view)] { takeView(view); });
         };
         outputs.currentUntil = [this](core::Instant until) {
-            boost::asio::post(traffic_, [this, until] { plane_.currentUntil = until; });
+            boost::asio::post(traffic_, [this, until] {
+                plane_.currentUntil = until;
+                plane_.changed();
+            });
         };
         outputs.othersWork = [this](core::WorkReport report) {
             boost::asio::post(traffic_, [this, report = std::move(report)] {
@@ -174,6 +177,7 @@
         };
         callers_->limits = {limits.headerBytes, limits.bodyBytes, toMillis(limits.headerTimeout),
                             toMillis(limits.idleTimeout)};
+        plane_.changed();
     }
 
     void tend()
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -16,6 +16,12 @@
 // Events closer together than this tell nothing of an endpoint's speed.
 constexpr double kLeastPaceMs = 1;
 
+// A start takes an election, a proof and the first heartbeats when the whole site starts anew.
+constexpr std::chrono::milliseconds kStartPeriod{2500};
+
+// Requests that may wait for the start; more are refused.
+constexpr std::size_t kMaxWaiting = 400;
+
 // An answer that takes so many times the usual counts as slow, if it is slower than kSlowFloor too.
 constexpr double kSlowFactor = 4;
 constexpr std::chrono::milliseconds kSlowFloor{150};
@@ -41,8 +47,25 @@
     , picker(siteSettings.dataCentre, siteSettings.regions)
     , pool(ioContext)
     , rng(std::random_device()())
+    , startedAt_(clock.now())
 {}
 
+bool TrafficPlane::isStarting(core::Instant now) const
+{
+    return now - startedAt_ < kStartPeriod && waiting_.size() < kMaxWaiting;
+}
+
+void TrafficPlane::awaitChange(std::function<void()> retry)
+{
+    waiting_.push_back(std::move(retry));
+}
+
+void TrafficPlane::changed()
+{
+    for (const std::function<void()> &retry : std::exchange(waiting_, {}))
+        retry();
+}
+
 void TrafficPlane::setView(std::shared_ptr<const core::SiteView> next)
 {
     std::set<core::EndpointId> known;
@@ -170,6 +193,13 @@
             std::chrono::duration<double, std::milli>(found->second));
 }
 
+double TrafficPlane::usualWork(const std::string &route, double workMs)
+{
+    const auto [usual, isNew] = workMs_.try_emplace(route, workMs);
+    usual->second += kLatencyMemory * (workMs - usual->second);
+    return usual->second;
+}
+
 core::OutcomeReport TrafficPlane::takeOutcomes()
 {
     core::OutcomeReport report;
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -16,6 +16,7 @@
 #include "core/version_gate.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -56,6 +57,14 @@
         return refusesFrom && now >= *refusesFrom;
     }
 
+    // Whether the process has started so lately that state and endpoints are still to come. A
+    // request that can't be served for that reason waits.
+    [[nodiscard]] bool isStarting(core::Instant now) const;
+
+    // Runs `retry` after the next change of the view or of the proof that it is current.
+    void awaitChange(std::function<void()> retry);
+    void changed();
+
     // The endpoints that may take this sending of a request.
     [[nodiscard]] std::vector<const core::EndpointRecord *>
     candidates(const core::ServiceName &service, const core::VersionGate &gate,
@@ -83,6 +92,10 @@
     // Usual time between two events of a model; 0 before the first stream.
     [[nodiscard]] core::Duration usualPace(const core::ModelName &model) const;
 
+    // Usual time that a prompt of the route takes of an endpoint; takes in one more. A large
+    // request is worth more, so that it is weighed like the others of its route.
+    double usualWork(const std::string &route, double workMs);
+
     // The counts since the last call.
     [[nodiscard]] core::OutcomeReport takeOutcomes();
 
@@ -117,7 +130,10 @@
     std::map<core::ServiceName, core::RetryBudget> budgets_;
     std::map<OutcomeKey, core::OutcomeCount> outcomes_;
     std::unordered_map<core::SessionId, Pin> pins_;
+    const core::Instant startedAt_;
+    std::vector<std::function<void()>> waiting_; // bounded by kMaxWaiting
     std::map<std::string, double> usualMs_; // moving average by route
+    std::map<std::string, double> workMs_; // moving average by route
     std::map<core::ModelName, double> paceMs_; // moving average of the time between two events
 };
 
--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -111,18 +111,21 @@
     }
     Pick best;
     double least = std::numeric_limits<double>::max();
+    double backlog = 0;
     for (const EndpointRecord *candidate : candidates) {
         const double kept = candidate == owner ? static_cast<double>(shared.tokens) : 0;
         const double unread = (prompt - kept) * ask.modelWeight;
-        const double expected =
-                cost(*candidate, ask, monitor, now) + weights_.perUnreadToken * unread;
-        const double billed =
-                weights_.perRereadToken * (static_cast<double>(shared.tokens) - kept);
+        const double work = weights_.perUnreadToken * unread;
+        const double expected = cost(*candidate, ask, monitor, now) + work;
+        const double billed = weights_.perRereadToken * (static_cast<double>(shared.tokens) - kept);
+        backlog += weights_.perUnreadToken * monitor.unreadTokens(candidate->id, now);
         if (expected + billed < least) {
             least = expected + billed;
-            best = Pick{candidate, expected, static_cast<std::uint32_t>(unread)};
+            best = Pick{candidate, expected, static_cast<std::uint32_t>(unread), work, 0};
         }
     }
+    if (best.endpoint)
+        best.backlogMs = backlog / static_cast<double>(candidates.size());
     return best;
 }
 
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -50,6 +50,8 @@
     const EndpointRecord *endpoint = nullptr;
     double expectedMs = 0; // until the first part of the answer, roughly
     std::uint32_t unreadTokens = 0; // of the prompt, in tokens of the largest model
+    double workMs = 0; // time that the prompt takes of the endpoint
+    double backlogMs = 0; // prompts that wait on the candidates, on average
 };
 
 class EndpointPicker
--- a/core/model_choice.h
+++ b/core/model_choice.h
@@ -26,6 +26,9 @@
     double easyPart = 0.35;
     // A larger model answers only if its whole answer is expected within this part of the time.
     double longestPart = 0.75;
+    // Under load the bound falls for work that holds up more: it is 0 once the time that the prompt
+    // takes, times the time that prompts wait already, reaches this many square milliseconds.
+    double heldUpMs2 = 130'000;
 };
 
 // When the answer of another model is expected, counted from the request's arrival.
@@ -34,6 +37,8 @@
     Duration first{}; // its first part
     Duration whole{};
     Duration deadline{};
+    double workMs = 0; // time that its prompt takes of an endpoint
+    double backlogMs = 0; // time that prompts wait on the endpoints, on average
 };
 
 // What a model costs, in parts of the service's dearest one; 1 if it is not known.
@@ -69,16 +74,16 @@
     [[nodiscard]] bool keeps(const Route &route, std::size_t model, std::uint32_t confidence,
                              const ExpectedAnswer &other) const
     {
-        const bool isTooLong =
-                static_cast<double>(other.whole.count())
-                > policy_.longestPart * static_cast<double>(other.deadline.count());
+        const bool isTooLong = static_cast<double>(other.whole.count())
+                               > policy_.longestPart * static_cast<double>(other.deadline.count());
         if (model + 1 >= route.models.size() || isTooLong)
             return true;
         const double part =
                 static_cast<double>(other.first.count())
                 / static_cast<double>(std::max<Duration::rep>(route.latencyObjective.count(), 1));
         const double ease = std::clamp((1 - part) / (1 - policy_.easyPart), 0.0, 1.0);
-        return confidence >= policy_.minConfidence * ease;
+        const double heldUp = other.workMs * other.backlogMs / policy_.heldUpMs2;
+        return confidence >= policy_.minConfidence * ease * std::max(0.0, 1 - heldUp);
     }
 
 private:
--- a/core/testing/endpoint_pick_test.cpp
+++ b/core/testing/endpoint_pick_test.cpp
@@ -148,6 +148,9 @@
     BOOST_TEST(keeps(0, 35, 900ms));
     BOOST_TEST(keeps(0, 0, 1200ms));
     BOOST_TEST(keeps(2, 0, 100ms));
+    // Under load a prompt that holds up others is not read once more; a short one is.
+    BOOST_TEST(chooser.keeps(route, 0, 35, {100ms, 2s, 10s, 400, 400}));
+    BOOST_TEST(!chooser.keeps(route, 0, 35, {100ms, 2s, 10s, 30, 400}));
     // A long answer of the larger model would not end before the deadline.
     BOOST_TEST(chooser.keeps(route, 0, 0, {100ms, 9s, 10s}));
 }
