--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -350,8 +350,6 @@
     reply.authoritative = driver_->hasLease();
     for (const core::Member &member : driver_->replica().membership().members)
         reply.controlVms.push_back(member.id.vm);
-    if (driver_->replica().leader())
-        reply.leader = driver_->replica().leader()->vm;
     // The entry may have lost a state to a connection that broke.
     if (message.revision < peer.sentRevision)
         peer.sentRevision = message.revision;
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -163,12 +163,6 @@
     return vms;
 }
 
-std::string SiteSettings::regionOf(const core::DataCentreId &other) const
-{
-    const auto found = regions.find(other);
-    return found == regions.end() ? std::string() : found->second;
-}
-
 Result<SiteSettings> siteSettings()
 {
     if (!readFlagFile())
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -46,7 +46,6 @@
 
     [[nodiscard]] std::string linkAddress(const core::VmId &vm) const;
     [[nodiscard]] std::vector<core::VmId> seedVms() const;
-    [[nodiscard]] std::string regionOf(const core::DataCentreId &dataCentre) const;
 };
 
 // The settings as the flags stand now, checked.
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -49,7 +49,6 @@
     , view(std::make_shared<const core::SiteView>())
     , picker(siteSettings.dataCentre, siteSettings.regions)
     , pool(ioContext)
-    , rng(std::random_device()())
     , startedAt_(clock.now())
 {}
 
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -19,7 +19,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <string>
 #include <tuple>
@@ -120,7 +119,6 @@
     EndpointPool pool;
     TrafficCounts counts;
     std::map<core::Refusal, std::uint64_t> refusals;
-    std::minstd_rand rng;
 
 private:
     using OutcomeKey = std::tuple<core::ServiceName, core::VersionName, std::string>;
--- a/core/endpoint_monitor.cpp
+++ b/core/endpoint_monitor.cpp
@@ -156,12 +156,6 @@
     return found == seen_.end() ? 1 : found->second.slowness;
 }
 
-std::uint32_t EndpointMonitor::outstanding(const EndpointId &id) const
-{
-    const auto found = seen_.find(id);
-    return found == seen_.end() ? 0 : found->second.outstanding;
-}
-
 std::optional<Instant> EndpointMonitor::lastGood(const EndpointId &id) const
 {
     const auto found = seen_.find(id);
--- a/core/endpoint_monitor.h
+++ b/core/endpoint_monitor.h
@@ -83,7 +83,6 @@
     // How many times as long as others it takes, 1 for the usual.
     [[nodiscard]] double slowness(const EndpointId &id) const;
 
-    [[nodiscard]] std::uint32_t outstanding(const EndpointId &id) const;
     [[nodiscard]] std::optional<Instant> lastGood(const EndpointId &id) const;
 
 private:
--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -93,7 +93,8 @@
     } else {
         result += ask.workMs * std::max(0.0, busy + 1 - slots) / slots + busy / slots;
     }
-    result += ask.workMs * std::max(0.0, slowness - 1);
+    const double slowed = ask.prompt ? weights_.perSlowness : ask.workMs;
+    result += slowed * std::max(0.0, slowness - 1);
     if (endpoint.warmupMs > 0)
         result += weights_.warmup;
     return result;
@@ -113,7 +114,8 @@
     double least = std::numeric_limits<double>::max();
     double backlog = 0;
     for (const EndpointRecord *candidate : candidates) {
-        const double kept = candidate == owner ? static_cast<double>(shared.tokens) : 0;
+        const bool isOwner = owner && candidate == owner;
+        const double kept = isOwner ? static_cast<double>(shared.tokens) : 0;
         const double unread = (prompt - kept) * ask.modelWeight;
         const double work = weights_.perUnreadToken * unread;
         const double expected = cost(*candidate, ask, monitor, now) + work;
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -31,6 +31,7 @@
     double perRegionByte = 0.008; // bytes between regions are billed
     double perBusyShare = 220; // of a model engine whose slots are all taken
     double perWaiting = 600; // for as many requests beyond the slots as there are slots
+    double perSlowness = 150; // for each time that a model engine is slower than the others
     double warmup = 400; // while the endpoint says that it is still slow
 };
 
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -33,7 +33,6 @@
     std::uint64_t newest = 0; // revision of the state; meaningful if `authoritative`
     bool authoritative = false; // from a leader under a valid lease
     std::vector<VmId> controlVms; // members of the group, to connect to
-    VmId leader; // empty when none is known
 };
 
 // The state of the site, sent after each change and to a newly connected entry.
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -86,7 +86,6 @@
     headSeen_ = false;
     skipping_ = false;
     skipped_ = 0;
-    ++exchanges_;
     if (connected_)
         write();
     else
--- a/net/endpoint_connection.h
+++ b/net/endpoint_connection.h
@@ -2,7 +2,7 @@
 // bytes: it never sends anything twice by itself.
 //
 //   auto connection = std::make_shared<EndpointConnection>(io, endpoint);
-//   connection->send(bytes, requestId, deadline, handlers);
+//   connection->send(bytes, handlers, connectTimeout);
 //
 // Between requests it waits for the peer to close, and closes itself if bytes come that nobody
 // asked for. Answers to another request are skipped if `isOurs` refuses their head.
@@ -84,9 +84,8 @@
 
     // Whether another request may be sent now.
     [[nodiscard]] bool isReusable() const { return reusable_ && open_ && !busy_; }
-    [[nodiscard]] bool wasUsed() const { return exchanges_ > 1; }
 
-    // Until when the endpoint keeps an idle connection; from its last answer.
+    // Since when it waits for a request, and how long the endpoint keeps an idle connection.
     [[nodiscard]] std::chrono::steady_clock::time_point idleSince() const { return idleSince_; }
     [[nodiscard]] std::chrono::seconds keepAlive() const { return keepAlive_; }
 
@@ -114,7 +113,6 @@
     std::unique_ptr<Parser> parser_; // of the present answer
     std::chrono::steady_clock::time_point idleSince_{};
     std::chrono::seconds keepAlive_; // idle time that the endpoint allows
-    std::size_t exchanges_ = 0;
     int skipped_ = 0; // answers to other requests during this exchange
     bool connected_ = false;
     bool open_ = true;
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -19,12 +19,14 @@
 using namespace fireflyroute::core;
 
 template<class Archive, typename Tag>
+// NOLINTNEXTLINE(readability-identifier-naming): the library's name
 std::string save_minimal(const Archive & /*archive*/, const Identifier<Tag> &id)
 {
     return id.value();
 }
 
 template<class Archive, typename Tag>
+// NOLINTNEXTLINE(readability-identifier-naming): the library's name
 void load_minimal(const Archive & /*archive*/, Identifier<Tag> &id, const std::string &value)
 {
     id = Identifier<Tag>(value);
@@ -178,8 +180,7 @@
 template<class Archive>
 void serialize(Archive &archive, CurrencyReply &message)
 {
-    archive(message.nonce, message.newest, message.authoritative, message.controlVms,
-            message.leader);
+    archive(message.nonce, message.newest, message.authoritative, message.controlVms);
 }
 
 template<class Archive>
