Share the checks of flags between both lists of settings

Cause: app/site_settings.cpp wrote the failure of a flag and the splitting of lists again, as they stand in app/settings.cpp. Both use app/flag_checks.h now; behaviour is as it was.

--- /dev/null
+++ b/app/flag_checks.h
@@ -0,0 +1,31 @@
+// What the checks of flags share: failures that name the flag, and lists by commas.
+
+#ifndef FIREFLYROUTE_APP_FLAG_CHECKS_H
+#define FIREFLYROUTE_APP_FLAG_CHECKS_H
+
+#include "app/errors.h"
+
+#include <boost/algorithm/string.hpp>
+#include <string>
+#include <vector>
+
+namespace fireflyroute::app {
+
+// The failure for a flag with a wrong value.
+[[nodiscard]] inline AppFailure bad(const std::string &flag, const std::string &problem)
+{
+    return AppFailure{AppError::BadSetting, "--" + flag + ": " + problem};
+}
+
+// The items between the commas; none for an empty text.
+[[nodiscard]] inline std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> items;
+    if (!text.empty())
+        boost::algorithm::split(items, text, boost::algorithm::is_any_of(","));
+    return items;
+}
+
+} // namespace fireflyroute::app
+
+#endif
--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "app/settings.h"
 
+#include "app/flag_checks.h"
+
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
 #include <cstdlib>
@@ -78,19 +80,6 @@
     }
 }
 
-AppFailure bad(const std::string &flag, const std::string &problem)
-{
-    return AppFailure{AppError::BadSetting, "--" + flag + ": " + problem};
-}
-
-std::vector<std::string> splitList(const std::string &text)
-{
-    std::vector<std::string> items;
-    if (!text.empty())
-        boost::algorithm::split(items, text, boost::algorithm::is_any_of(","));
-    return items;
-}
-
 bool isAddress(const std::string &address)
 {
     constexpr std::string_view kScheme = "http://";
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -2,9 +2,9 @@
 
 #include "app/site_settings.h"
 
+#include "app/flag_checks.h"
 #include "net/address.h"
 
-#include <boost/algorithm/string.hpp>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
@@ -52,19 +52,6 @@
 
 constexpr double kPermille = 1000;
 
-AppFailure bad(const std::string &flag, const std::string &problem)
-{
-    return AppFailure{AppError::BadSetting, "--" + flag + ": " + problem};
-}
-
-std::vector<std::string> splitList(const std::string &text)
-{
-    std::vector<std::string> items;
-    if (!text.empty())
-        boost::algorithm::split(items, text, boost::algorithm::is_any_of(","));
-    return items;
-}
-
 Result<std::string> readAddress(const std::string &flag, const std::string &address, bool needed)
 {
     if (address.empty() && !needed)
