Tell sessions between entries while a version is rolled out

Ruled out: refusing the draw to sessions that an entry does not know (no roll-out gets answers), and waiting for 5 s after the order (the entry still does not know).

Change: core/session_pins keeps what runs each session, from its first sending to the end of its last request and the time to live after it. Sessions that a roll-out would draw are told to the other entries through the leader with the reports of work; the draw no longer depends on the order's number, so it is known before one. A request that is drawn for a version without a usable endpoint runs on the other.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -195,9 +195,16 @@
                            endpoints->second);
     const bool hasSession = !meta_.session.empty();
     gate.draw(hasSession ? meta_.session.value() : meta_.id.value(), plane_.settings.canaryShare,
-              hasSession ? plane_.pinned(meta_.session, now) : std::nullopt);
-    return plane_.picker.pick(plane_.candidates(service_, gate, tried_, now), ask(model),
-                              plane_.monitor, now);
+              hasSession ? plane_.pins.versionOf(meta_.session, now) : std::nullopt);
+    const auto pick = [&] {
+        return plane_.picker.pick(plane_.candidates(service_, gate, tried_, now), ask(model),
+                                  plane_.monitor, now);
+    };
+    const core::Pick best = pick();
+    if (best.endpoint || !gate.isCanary())
+        return best;
+    gate.leaveCanary();
+    return pick();
 }
 
 template<TrafficDialect Dialect>
@@ -236,7 +243,7 @@
     attempt_->unreadTokens = pick.unreadTokens;
     plane_.monitor.sent(endpoint.id, pick.unreadTokens);
     plane_.noteRunning(endpoint, route_->name, 1);
-    plane_.pin(meta_.session, endpoint.version, now);
+    plane_.pins.began(meta_.session, endpoint.version, now);
     const core::Dispatch dispatch = dispatchTo(endpoint, now);
     armTimer();
     connection->send(net::encodeRequest(Dialect::encodeDispatch(request_, dispatch)), handlers(),
@@ -582,6 +589,7 @@
         plane_.monitor.began(attempt_->endpoint.id, attempt_->unreadTokens);
     plane_.monitor.ended(attempt_->endpoint.id);
     plane_.noteRunning(attempt_->endpoint, route_->name, -1);
+    plane_.pins.ended(meta_.session, attempt_->endpoint.version, plane_.clock.now());
     if (attempt_->connection->isReusable())
         plane_.pool.giveBack(attempt_->endpoint, attempt_->connection);
     else
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -376,6 +376,15 @@
     peer.link->send(net::encodeMessage(exchange_.othersOf(peer.vm, now)));
 }
 
+void SiteControl::take(Peer &peer, const core::SessionNews &message)
+{
+    const std::string bytes = net::encodeMessage(message);
+    for (auto &[link, other] : accepted_) {
+        if (other.isEntry && &other != &peer)
+            other.link->send(bytes);
+    }
+}
+
 void SiteControl::take(Peer & /*peer*/, const core::ReplicaMessage &message)
 {
     // The sender can be answered over an own link only, and may be unknown: a leader to a VM that
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -83,6 +83,7 @@
     void take(Peer &peer, const core::EndpointUpdate &message);
     void take(Peer &peer, const core::OutcomeReport &message);
     void take(Peer &peer, const core::WorkReport &message);
+    void take(Peer &peer, const core::SessionNews &message);
     void take(Peer &peer, const core::ReplicaMessage &message);
     void take(Peer & /*peer*/, const core::CurrencyReply & /*message*/) {}
     void take(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -39,6 +39,7 @@
     std::function<void(std::shared_ptr<const core::SiteView>)> viewChanged;
     std::function<void(core::Instant)> currentUntil;
     std::function<void(core::WorkReport)> othersWork;
+    std::function<void(core::SessionNews)> othersSessions;
 };
 
 class SiteEntry
@@ -79,6 +80,10 @@
     {
         outputs_.othersWork(message);
     }
+    void take(const core::VmId & /*vm*/, const core::SessionNews &message)
+    {
+        outputs_.othersSessions(message);
+    }
     template<typename Other>
     void take(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -152,16 +152,26 @@
                 plane_.monitor.heardOthers(report, clock_.now());
             });
         };
+        outputs.othersSessions = [this](core::SessionNews news) {
+            boost::asio::post(traffic_, [this, news = std::move(news)] {
+                plane_.pins.heard(news, clock_.now());
+            });
+        };
         return outputs;
     }
 
-    // Tells the leader what this entry has sent, and learns what the others have.
+    // Tells the leader what this entry has sent and which versions run its sessions, and learns the
+    // same of the others.
     void exchangeWork()
     {
         workTimer_.expires_after(kWorkPeriod);
         workTimer_.async_wait([this](const boost::system::error_code &) {
             boost::asio::post(
-                    io_, [this, report = plane_.monitor.ownWork()] { entry_.tellLeader(report); });
+                    io_, [this, report = plane_.monitor.ownWork(), news = plane_.pins.takeNews()] {
+                        entry_.tellLeader(report);
+                        if (!news.runs.empty())
+                            entry_.tellLeader(news);
+                    });
             exchangeWork();
         });
     }
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -52,6 +52,7 @@
     , log(structuredLog)
     , view(std::make_shared<const core::SiteView>())
     , picker(siteSettings.dataCentre, siteSettings.regions)
+    , pins(siteSettings.sessionTtl, siteSettings.canaryShare)
     , pool(ioContext)
     , startedAt_(clock.now())
 {}
@@ -182,21 +183,6 @@
             static_cast<std::uint32_t>(std::max(0, static_cast<int>(count.outstanding) + change));
 }
 
-std::optional<core::VersionName> TrafficPlane::pinned(const core::SessionId &session,
-                                                      core::Instant now) const
-{
-    const auto found = pins_.find(session);
-    const bool isRecent = found != pins_.end() && now - found->second.at < settings.sessionTtl;
-    return isRecent ? std::optional(found->second.version) : std::nullopt;
-}
-
-void TrafficPlane::pin(const core::SessionId &session, const core::VersionName &version,
-                       core::Instant now)
-{
-    if (!session.empty())
-        pins_[session] = Pin{version, now};
-}
-
 core::Duration TrafficPlane::usualLatency(const std::string &route) const
 {
     const auto found = usualMs_.find(route);
@@ -254,9 +240,7 @@
 void TrafficPlane::tend()
 {
     pool.expire();
-    const core::Instant now = clock.now();
-    std::erase_if(pins_,
-                  [&](const auto &pin) { return now - pin.second.at >= settings.sessionTtl; });
+    pins.expire(clock.now());
 }
 
 std::string TrafficPlane::metrics() const
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -11,6 +11,7 @@
 #include "core/endpoint_pick.h"
 #include "core/model_choice.h"
 #include "core/retry_budget.h"
+#include "core/session_pins.h"
 #include "core/site_messages.h"
 #include "core/site_view.h"
 #include "core/version_gate.h"
@@ -80,11 +81,6 @@
                      core::Duration latency);
     void noteRunning(const core::EndpointRecord &endpoint, const std::string &route, int change);
 
-    // The version that ran a session's last request, if that is recent.
-    [[nodiscard]] std::optional<core::VersionName> pinned(const core::SessionId &session,
-                                                          core::Instant now) const;
-    void pin(const core::SessionId &session, const core::VersionName &version, core::Instant now);
-
     // Usual time to the first part of an answer on a route.
     [[nodiscard]] core::Duration usualLatency(const std::string &route) const;
 
@@ -116,6 +112,7 @@
     core::EndpointMonitor monitor;
     core::EndpointPicker picker;
     core::ModelChooser models;
+    core::SessionPins pins;
     EndpointPool pool;
     TrafficCounts counts;
     std::map<core::Refusal, std::uint64_t> refusals;
@@ -123,12 +120,6 @@
 private:
     using OutcomeKey = std::tuple<core::ServiceName, core::VersionName, std::string>;
 
-    struct Pin
-    {
-        core::VersionName version;
-        core::Instant at;
-    };
-
     // All repeats of a service, and those of them that only want a better answer.
     struct Budgets
     {
@@ -140,7 +131,6 @@
 
     std::map<core::ServiceName, Budgets> budgets_;
     std::map<OutcomeKey, core::OutcomeCount> outcomes_;
-    std::unordered_map<core::SessionId, Pin> pins_;
     const core::Instant startedAt_;
     std::vector<std::function<void()>> waiting_; // bounded by kMaxWaiting
     std::map<std::string, double> usualMs_; // moving average by route
--- /dev/null
+++ b/core/session_pins.h
@@ -0,0 +1,67 @@
+// Which version of a service runs each session, as this entry and the others have seen it, so that
+// a session keeps its version for as long as its requests follow each other.
+//
+//   SessionPins pins(ttl, canaryShare);
+//   pins.began(session, version, now);             // a request of it was sent to an endpoint
+//   pins.ended(session, version, now);
+//   if (std::optional<VersionName> version = pins.versionOf(session, now)) ...
+//   send(pins.takeNews());                         // to the other entries
+//   pins.heard(news, now);                         // from them
+//
+// Only sessions that a roll-out would move early are told: the others stay where they are without
+// that. The draw of a session is known before any roll-out, so what it runs on is known in time.
+
+#ifndef FIREFLYROUTE_CORE_SESSION_PINS_H
+#define FIREFLYROUTE_CORE_SESSION_PINS_H
+
+#include "core/clock.h"
+#include "core/site_messages.h"
+#include "core/types.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace fireflyroute::core {
+
+class SessionPins
+{
+public:
+    // `ttl`: requests of a session that follow each other within it belong together.
+    SessionPins(Duration ttl, double canaryShare)
+        : ttl_(ttl)
+        , canaryShare_(canaryShare)
+    {}
+
+    void began(const SessionId &session, const VersionName &version, Instant now);
+    void ended(const SessionId &session, const VersionName &version, Instant now);
+
+    // What other entries saw.
+    void heard(const SessionNews &news, Instant now);
+
+    // The version that runs the session, or ran its last request if that is recent.
+    [[nodiscard]] std::optional<VersionName> versionOf(const SessionId &session, Instant now) const;
+
+    // What was seen here since the last call and matters to other entries.
+    [[nodiscard]] SessionNews takeNews();
+
+    void expire(Instant now);
+
+private:
+    struct Pin
+    {
+        VersionName version;
+        Instant until;
+    };
+
+    void note(const SessionRun &run, Instant now);
+    void see(SessionRun run, Instant now);
+
+    Duration ttl_;
+    double canaryShare_;
+    std::unordered_map<SessionId, Pin> pins_;
+    SessionNews news_;
+};
+
+} // namespace fireflyroute::core
+
+#endif
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -84,8 +84,27 @@
     bool operator==(const WorkReport &) const = default;
 };
 
-using SiteMessage = std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate,
-                                 EndpointUpdate, OutcomeReport, WorkReport, ReplicaMessage>;
+// A request of a session that runs on a version of a service, or has just ended there.
+struct SessionRun
+{
+    SessionId session;
+    VersionName version;
+    bool ended = false;
+
+    bool operator==(const SessionRun &) const = default;
+};
+
+// From an entry to the leader, which passes it on to all other entries.
+struct SessionNews
+{
+    std::vector<SessionRun> runs;
+
+    bool operator==(const SessionNews &) const = default;
+};
+
+using SiteMessage =
+        std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate, EndpointUpdate,
+                     OutcomeReport, WorkReport, ReplicaMessage, SessionNews>;
 
 } // namespace fireflyroute::core
 
--- /dev/null
+++ b/core/testing/session_pins_test.cpp
@@ -0,0 +1,92 @@
+// Sessions that move between entries while a version is rolled out.
+
+#define BOOST_TEST_MODULE session_pins
+#include "core/session_pins.h"
+
+#include "core/version_gate.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+using namespace fireflyroute::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const VersionName kOld("v1");
+const VersionName kNew("v2");
+constexpr double kShare = 0.1;
+constexpr Duration kTtl = 5s;
+const Instant kStart = Instant() + 100s;
+
+// The first session from that number on whose draw is as wanted.
+SessionId sessionWith(bool drawn, int from = 0)
+{
+    for (int i = from;; ++i) {
+        const std::string name = "session-" + std::to_string(i);
+        if (VersionGate::isDrawn(name, kShare) == drawn)
+            return SessionId(name);
+    }
+}
+
+bool runsOnNew(const SessionPins &pins, const SessionId &session, Instant now)
+{
+    Rollout rollout;
+    rollout.target = kNew;
+    rollout.number = 7;
+    rollout.stage = RolloutStage::Canary;
+    VersionGate gate(&rollout, {});
+    gate.draw(session.value(), kShare, pins.versionOf(session, now));
+    return gate.admits(kNew);
+}
+
+} // namespace
+
+// Mavuno, quiet-1 with seed 619378315609: the entry that a session moved to did not know what ran
+// it, and drew it for the version on trial.
+BOOST_AUTO_TEST_CASE(a_session_that_moves_to_another_entry_keeps_its_version)
+{
+    SessionPins first(kTtl, kShare);
+    SessionPins second(kTtl, kShare);
+    const SessionId session = sessionWith(true);
+    BOOST_TEST(runsOnNew(second, session, kStart));
+    first.began(session, kOld, kStart);
+    second.heard(first.takeNews(), kStart + 200ms);
+    BOOST_TEST(!runsOnNew(second, session, kStart + 12s)); // it may be a long request
+    first.ended(session, kOld, kStart + 12s);
+    second.heard(first.takeNews(), kStart + 12s + 200ms);
+    BOOST_TEST(!runsOnNew(second, session, kStart + 17s));
+    BOOST_TEST(runsOnNew(second, session, kStart + 18s));
+}
+
+BOOST_AUTO_TEST_CASE(a_session_on_the_new_version_stays_there_on_other_entries)
+{
+    SessionPins first(kTtl, kShare);
+    SessionPins second(kTtl, kShare);
+    const SessionId session = sessionWith(true);
+    first.began(session, kNew, kStart);
+    second.heard(first.takeNews(), kStart);
+    BOOST_TEST(runsOnNew(second, session, kStart + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(sessions_that_no_roll_out_would_draw_are_not_told)
+{
+    SessionPins pins(kTtl, kShare);
+    pins.began(sessionWith(false), kOld, kStart);
+    pins.began(SessionId(), kOld, kStart);
+    BOOST_TEST(pins.takeNews().runs.empty());
+    pins.ended(sessionWith(true), kOld, kStart);
+    BOOST_TEST(pins.takeNews().runs.size() == 1U);
+    BOOST_TEST(pins.takeNews().runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(expired_pins_are_dropped)
+{
+    SessionPins pins(kTtl, kShare);
+    const SessionId session = sessionWith(false);
+    pins.ended(session, kOld, kStart);
+    pins.expire(kStart + 4s);
+    BOOST_TEST(pins.versionOf(session, kStart + 4s).has_value());
+    pins.expire(kStart + 6s);
+    BOOST_TEST(!pins.versionOf(session, kStart).has_value());
+}
--- a/core/testing/version_gate_test.cpp
+++ b/core/testing/version_gate_test.cpp
@@ -66,6 +66,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_draw_is_taken_back_where_the_new_version_has_no_endpoint)
+{
+    const Rollout running = rollout(RolloutStage::Canary);
+    VersionGate gate(&running, {});
+    gate.draw("any", 1, std::nullopt);
+    BOOST_TEST(gate.isCanary());
+    gate.leaveCanary();
+    BOOST_TEST(gate.admits(kOld));
+    BOOST_TEST(!gate.admits(kNew));
+}
+
 BOOST_AUTO_TEST_CASE(later_stages_admit_one_side)
 {
     for (const RolloutStage stage : {RolloutStage::Expanding, RolloutStage::Completed}) {
--- a/core/version_gate.cpp
+++ b/core/version_gate.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 // FNV-1a, the same in every process.
-std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
+std::uint64_t hashOf(std::string_view text)
 {
     constexpr std::uint64_t kOffset = 14695981039346656037ULL;
     constexpr std::uint64_t kPrime = 1099511628211ULL;
-    std::uint64_t hash = kOffset ^ seed;
+    std::uint64_t hash = kOffset;
     for (const char c : text)
         hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
     hash ^= hash >> 29U;
@@ -39,6 +39,12 @@
     }
 }
 
+bool VersionGate::isDrawn(std::string_view identity, double share)
+{
+    constexpr std::uint64_t kSteps = 10'000;
+    return static_cast<double>(hashOf(identity) % kSteps) < share * kSteps;
+}
+
 void VersionGate::draw(std::string_view identity, double canaryShare,
                        const std::optional<VersionName> &pinned)
 {
@@ -48,9 +54,7 @@
         canary_ = *pinned == rollout_->target;
         return;
     }
-    constexpr std::uint64_t kSteps = 10'000;
-    const std::uint64_t drawn = hashOf(identity, rollout_->number) % kSteps;
-    canary_ = static_cast<double>(drawn) < canaryShare * kSteps;
+    canary_ = isDrawn(identity, canaryShare);
 }
 
 bool VersionGate::admits(const VersionName &version) const
--- a/core/version_gate.h
+++ b/core/version_gate.h
@@ -4,8 +4,8 @@
 //   if (gate.admits(endpoint.version, choice)) ...
 //
 // A small share of the requests, drawn by the session or else by the request, goes to the version
-// that is rolled out; the draw is the same on all entries, and grows only from one stage to the
-// next. Without a roll-out, a version that nobody ordered waits.
+// that is rolled out; the draw is the same on all entries and for all roll-outs, and grows only
+// from one stage to the next. Without a roll-out, a version that nobody ordered waits.
 
 #ifndef FIREFLYROUTE_CORE_VERSION_GATE_H
 #define FIREFLYROUTE_CORE_VERSION_GATE_H
@@ -26,6 +26,9 @@
     // `rollout`: the newest one of the service, or null. `endpoints`: those that are known.
     VersionGate(const Rollout *rollout, const std::vector<EndpointRecord> &endpoints);
 
+    // Whether a share of all sessions or requests contains this one.
+    [[nodiscard]] static bool isDrawn(std::string_view identity, double share);
+
     // The draw of a request: its session or, without one, its id. `pinned` is the version that ran
     // the session's last request, if that is recent.
     void draw(std::string_view identity, double canaryShare,
@@ -33,6 +36,9 @@
 
     [[nodiscard]] bool admits(const VersionName &version) const;
 
+    // Takes the draw back, where no endpoint of the version on trial can take the request.
+    void leaveCanary() { canary_ = false; }
+
     // Whether the request was drawn for the version that is rolled out and is not proven yet.
     [[nodiscard]] bool isCanary() const { return canary_; }
 
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -220,6 +220,18 @@
     archive(message.work);
 }
 
+template<class Archive>
+void serialize(Archive &archive, SessionRun &run)
+{
+    archive(run.session, run.version, run.ended);
+}
+
+template<class Archive>
+void serialize(Archive &archive, SessionNews &message)
+{
+    archive(message.runs);
+}
+
 } // namespace cereal
 
 namespace fireflyroute::net {
