Tell entries where prompts are cached, send the state from the own region, try the middle model

Two thirds of the short prompts had their owner in another region and met nowhere; all five control VMs sent each state whole to all entries.

Change: core/prompt_index (over core/prefix_cache) keeps where shared parts were sent, own and told by the other entries; the choice counts what an endpoint holds and how many requests a prompt delays there. core/state_feed sends the state from control VMs of the entry's region, from the leader if it stays behind, and leaves out a document that the entry holds. Answers of confidence 40 to 58 are tried by the next larger model.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -196,8 +196,14 @@
     const bool hasSession = !meta_.session.empty();
     gate.draw(hasSession ? meta_.session.value() : meta_.id.value(), plane_.settings.canaryShare,
               hasSession ? plane_.pins.versionOf(meta_.session, now) : std::nullopt);
+    core::PickAsk asked = ask(model);
+    core::PromptMatch match;
+    if (asked.prompt) {
+        match = plane_.prompts.match(asked.model, *asked.prompt, now);
+        asked.match = &match;
+    }
     const auto pick = [&] {
-        return plane_.picker.pick(plane_.candidates(service_, gate, tried_, now), ask(model),
+        return plane_.picker.pick(plane_.candidates(service_, gate, tried_, now), asked,
                                   plane_.monitor, now);
     };
     const core::Pick best = pick();
@@ -243,6 +249,8 @@
     attempt_->unreadTokens = pick.unreadTokens;
     plane_.monitor.sent(endpoint.id, pick.unreadTokens);
     plane_.noteRunning(endpoint, route_->name, 1);
+    if (!meta_.prompt.empty() && !route_->models.empty())
+        plane_.prompts.sent(endpoint.id, route_->models[model_], meta_.prompt, now);
     plane_.pins.began(meta_.session, endpoint.version, now);
     const core::Dispatch dispatch = dispatchTo(endpoint, now);
     armTimer();
@@ -320,11 +328,12 @@
     if (!mayEscalate)
         return false;
     const core::Instant now = plane_.clock.now();
-    const core::Pick pick = pickFor(plane_.models.next(*route_, model_), now);
+    const std::uint32_t confidence = *attempt_->meta.confidence;
+    const std::size_t next = plane_.models.next(*route_, model_, confidence);
+    const core::Pick pick = pickFor(next, now);
     if (!pick.endpoint)
         return false;
-    return !plane_.models.keeps(*route_, model_, *attempt_->meta.confidence,
-                                expectedOf(plane_.models.next(*route_, model_), pick, now));
+    return !plane_.models.keeps(*route_, model_, confidence, expectedOf(next, pick, now));
 }
 
 // When that model's answer would be there if it were sent now.
@@ -360,8 +369,9 @@
             .add("decision", "larger model")
             .add("model", route_->models[model_].value())
             .add("confidence", static_cast<std::int64_t>(*attempt_->meta.confidence));
+    const std::size_t next = plane_.models.next(*route_, model_, *attempt_->meta.confidence);
     dropAttempt();
-    model_ = plane_.models.next(*route_, model_);
+    model_ = next;
     attempt();
 }
 
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -27,9 +27,6 @@
 constexpr std::chrono::milliseconds kExpirePeriod{500};
 constexpr std::chrono::milliseconds kJudgePeriod{200};
 
-// States that follow each other quickly are sent to an entry together.
-constexpr std::chrono::milliseconds kPublishPause{100};
-
 // Work that an entry reported counts for some of its reports.
 constexpr std::chrono::milliseconds kWorkLifetime{1000};
 
@@ -52,6 +49,7 @@
             std::_Exit(kExitStorage);
         }
         self->state_ = core::SiteState(data.value());
+        self->changedAt_ = self->clock_.now();
         self->publishState();
     };
     hooks.save = [self] { return net::encodeSiteData(self->state_.data()); };
@@ -332,6 +330,7 @@
             .add("peer_role", core::nameOf(peer.isEntry ? Role::Entry : Role::Control));
     if (!peer.isEntry)
         return;
+    peer.feed = core::StateFeed(isNear(message.dataCentre));
     core::EndpointUpdate update{registry_.all()};
     // Without a lease this VM may be the one that hears nothing.
     if (!driver_->hasLease()) {
@@ -339,7 +338,6 @@
             record.silent = false;
     }
     peer.link->send(net::encodeMessage(update));
-    sendState(peer);
 }
 
 void SiteControl::take(Peer &peer, const core::CurrencyProbe &message)
@@ -350,10 +348,11 @@
     reply.authoritative = driver_->hasLease();
     for (const core::Member &member : driver_->replica().membership().members)
         reply.controlVms.push_back(member.id.vm);
-    // The entry may have lost a state to a connection that broke.
-    if (message.revision < peer.sentRevision)
-        peer.sentRevision = message.revision;
-    sendState(peer);
+    peer.feed.holds(message.revision, message.documentVersion);
+    const auto update =
+            peer.feed.onProbe(state_.data(), reply.authoritative, changedAt_, clock_.now());
+    if (update)
+        peer.link->send(net::encodeMessage(*update));
     peer.link->send(net::encodeMessage(reply));
 }
 
@@ -376,7 +375,7 @@
     peer.link->send(net::encodeMessage(exchange_.othersOf(peer.vm, now)));
 }
 
-void SiteControl::take(Peer &peer, const core::SessionNews &message)
+void SiteControl::passOn(const Peer &peer, const core::SiteMessage &message)
 {
     const std::string bytes = net::encodeMessage(message);
     for (auto &[link, other] : accepted_) {
@@ -430,7 +429,8 @@
         net::FrameHandlers handlers;
         handlers.frame = [](net::FrameLink &, std::string_view) {};
         handlers.opened = [this](net::FrameLink &link) {
-            link.send(net::encodeMessage(core::Greeting{settings_.vm, false}));
+            link.send(
+                    net::encodeMessage(core::Greeting{settings_.vm, false, settings_.dataCentre}));
             link.send(net::encodeMessage(core::EndpointUpdate{registry_.all()}));
         };
         handlers.lost = [this, vm](net::FrameLink &) {
@@ -464,10 +464,12 @@
     }
     ++commits_;
     state_.apply(command.value());
+    changedAt_ = clock_.now();
     publishState();
 }
 
-// Sends the state to all entries soon. A burst of changes makes one message for each pause.
+// Sends the state to the entries that get it from here, soon. A burst of changes makes one message
+// for each pause.
 void SiteControl::publishState()
 {
     if (publishing_)
@@ -477,17 +479,14 @@
         publishing_ = false;
         bool isBehind = false;
         for (auto &[link, peer] : accepted_) {
-            if (!peer.isEntry || peer.sentRevision >= state_.data().revision)
-                continue;
-            if (clock_.now() - peer.sentAt >= kPublishPause)
-                sendState(peer);
-            else
-                isBehind = true;
+            if (const auto update = peer.feed.onChange(state_.data(), clock_.now()))
+                peer.link->send(net::encodeMessage(*update));
+            isBehind = isBehind || peer.feed.isDue(state_.data());
         }
         if (!isBehind)
             return;
         publishing_ = true;
-        const auto timer = std::make_shared<asio::steady_timer>(io_, kPublishPause);
+        const auto timer = std::make_shared<asio::steady_timer>(io_, core::StateFeed::kPause);
         timer->async_wait([this, timer](const boost::system::error_code &) {
             publishing_ = false;
             publishState();
@@ -495,14 +494,13 @@
     });
 }
 
-void SiteControl::sendState(Peer &peer)
+bool SiteControl::isNear(const core::DataCentreId &dataCentre) const
 {
-    const core::SiteData &data = state_.data();
-    if (peer.sentRevision >= data.revision)
-        return;
-    peer.sentRevision = data.revision;
-    peer.sentAt = clock_.now();
-    peer.link->send(net::encodeMessage(core::StateUpdate{data}));
+    const auto own = settings_.regions.find(settings_.dataCentre);
+    const auto other = settings_.regions.find(dataCentre);
+    const bool isSameRegion = own != settings_.regions.end() && other != settings_.regions.end()
+                              && own->second == other->second;
+    return isSameRegion || dataCentre == settings_.dataCentre;
 }
 
 void SiteControl::onRole(const core::RoleChanged &changed)
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -18,6 +18,7 @@
 #include "core/rollout_judge.h"
 #include "core/site_calls.h"
 #include "core/site_messages.h"
+#include "core/state_feed.h"
 #include "core/work_exchange.h"
 #include "net/frame_link.h"
 
@@ -58,8 +59,7 @@
         std::shared_ptr<net::FrameLink> link;
         core::VmId vm; // empty before its greeting
         bool isEntry = false;
-        std::uint64_t sentRevision = 0;
-        core::Instant sentAt; // when a state was last sent
+        core::StateFeed feed; // of an entry
     };
 
     SiteControl(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log);
@@ -83,18 +83,22 @@
     void take(Peer &peer, const core::EndpointUpdate &message);
     void take(Peer &peer, const core::OutcomeReport &message);
     void take(Peer &peer, const core::WorkReport &message);
-    void take(Peer &peer, const core::SessionNews &message);
+    void take(Peer &peer, const core::SessionNews &message) { passOn(peer, message); }
+    void take(Peer &peer, const core::PromptNews &message) { passOn(peer, message); }
     void take(Peer &peer, const core::ReplicaMessage &message);
     void take(Peer & /*peer*/, const core::CurrencyReply & /*message*/) {}
     void take(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
 
+    // To all entries but the one that told it.
+    void passOn(const Peer &peer, const core::SiteMessage &message);
+
     // State.
     void apply(const std::string &payload);
     void onRole(const core::RoleChanged &changed);
     void connectMembers();
     void send(const core::ReplicaMessage &message);
     void publishState();
-    void sendState(Peer &peer);
+    [[nodiscard]] bool isNear(const core::DataCentreId &dataCentre) const;
     void noteRecord(const core::EndpointRecord &record, core::RegistryChange change,
                     bool fromEndpoint);
     void toEntries(const core::SiteMessage &message);
@@ -108,6 +112,7 @@
     StructuredLog &log_;
     BootClock clock_;
     core::SiteState state_; // committed commands up to the applied one
+    core::Instant changedAt_; // when state_ last changed
     core::ControlDirectory directory_;
     core::EndpointRegistry registry_;
     core::RolloutJudge judge_;
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -74,8 +74,8 @@
         handlers.opened = [this, vm](net::FrameLink &link) {
             links_[vm].heardAt = clock_.now();
             LogLine(log_, LogKind::Link).add("event", "regained").add("peer", vm.value());
-            link.send(net::encodeMessage(core::Greeting{settings_.vm, true}));
-            link.send(net::encodeMessage(core::CurrencyProbe{nonce_, state_.revision}));
+            link.send(net::encodeMessage(core::Greeting{settings_.vm, true, settings_.dataCentre}));
+            link.send(net::encodeMessage(currencyProbe()));
         };
         handlers.frame = [this, vm](net::FrameLink &, std::string_view frame) {
             onFrame(vm, frame);
@@ -89,11 +89,16 @@
     }
 }
 
+core::CurrencyProbe SiteEntry::currencyProbe() const
+{
+    return {nonce_, state_.revision, state_.document.version};
+}
+
 void SiteEntry::probe()
 {
     const core::Instant now = clock_.now();
     currency_.asked(++nonce_, now);
-    const std::string bytes = net::encodeMessage(core::CurrencyProbe{nonce_, state_.revision});
+    const std::string bytes = net::encodeMessage(currencyProbe());
     for (auto &[vm, control] : links_) {
         if (control.link->isOpen() && now - control.heardAt > kLinkSilence) {
             control.heardAt = now;
@@ -141,7 +146,9 @@
 
 void SiteEntry::take(const core::VmId &vm, const core::StateUpdate &message)
 {
-    if (message.data.revision <= state_.revision)
+    const bool isMissing =
+            message.sameDocument && message.data.document.version != state_.document.version;
+    if (message.data.revision <= state_.revision || isMissing)
         return;
     const bool isNewConfig = message.data.document.version != state_.document.version;
     if (isNewConfig) {
@@ -165,7 +172,10 @@
                 .add("stage", core::nameOf(rollout.stage))
                 .add("revision", static_cast<std::int64_t>(message.data.revision));
     }
+    core::ConfigDocument held = std::move(state_.document);
     state_ = message.data;
+    if (message.sameDocument)
+        state_.document = std::move(held);
     currency_.took(state_.revision);
     publishView();
     tellCurrency();
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -40,6 +40,7 @@
     std::function<void(core::Instant)> currentUntil;
     std::function<void(core::WorkReport)> othersWork;
     std::function<void(core::SessionNews)> othersSessions;
+    std::function<void(core::PromptNews)> othersPrompts;
 };
 
 class SiteEntry
@@ -84,10 +85,15 @@
     {
         outputs_.othersSessions(message);
     }
+    void take(const core::VmId & /*vm*/, const core::PromptNews &message)
+    {
+        outputs_.othersPrompts(message);
+    }
     template<typename Other>
     void take(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
     void probe();
+    [[nodiscard]] core::CurrencyProbe currencyProbe() const;
     void tellCurrency();
     void publishView();
 
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -157,21 +157,29 @@
                 plane_.pins.heard(news, clock_.now());
             });
         };
+        outputs.othersPrompts = [this](core::PromptNews news) {
+            boost::asio::post(traffic_, [this, news = std::move(news)] {
+                plane_.prompts.heard(news, clock_.now());
+            });
+        };
         return outputs;
     }
 
-    // Tells the leader what this entry has sent and which versions run its sessions, and learns the
-    // same of the others.
+    // Tells the leader what this entry has sent, which versions run its sessions and which prompts
+    // the endpoints have read, and learns the same of the others.
     void exchangeWork()
     {
         workTimer_.expires_after(kWorkPeriod);
         workTimer_.async_wait([this](const boost::system::error_code &) {
-            boost::asio::post(
-                    io_, [this, report = plane_.monitor.ownWork(), news = plane_.pins.takeNews()] {
-                        entry_.tellLeader(report);
-                        if (!news.runs.empty())
-                            entry_.tellLeader(news);
-                    });
+            boost::asio::post(io_, [this, report = plane_.monitor.ownWork(),
+                                    sessions = plane_.pins.takeNews(),
+                                    prompts = plane_.prompts.takeNews()] {
+                entry_.tellLeader(report);
+                if (!sessions.runs.empty())
+                    entry_.tellLeader(sessions);
+                if (!prompts.sightings.empty())
+                    entry_.tellLeader(prompts);
+            });
             exchangeWork();
         });
     }
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -10,6 +10,7 @@
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_pick.h"
 #include "core/model_choice.h"
+#include "core/prompt_index.h"
 #include "core/retry_budget.h"
 #include "core/session_pins.h"
 #include "core/site_messages.h"
@@ -113,6 +114,7 @@
     core::EndpointPicker picker;
     core::ModelChooser models;
     core::SessionPins pins;
+    core::PromptIndex prompts;
     EndpointPool pool;
     TrafficCounts counts;
     std::map<core::Refusal, std::uint64_t> refusals;
--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace fireflyroute::core {
 
@@ -26,55 +27,25 @@
     return hash;
 }
 
-// Tokens of the parts that other requests share, and a hash of the last of them with the model: the
-// parts before it are shared by many more and are cached nearly everywhere.
-struct SharedPrompt
-{
-    std::uint64_t hash = 0;
-    std::uint64_t tokens = 0;
-};
+// Below this part of the shared tokens, what an endpoint holds tells nothing of where other
+// requests with them went.
+constexpr double kKnownPart = 0.5;
 
-SharedPrompt sharedPrompt(const PickAsk &ask)
-{
-    SharedPrompt shared;
-    if (!ask.prompt || ask.prompt->size() < 2)
-        return shared;
-    const std::size_t last = ask.prompt->size() - 2;
-    shared.hash = mix(textHash(ask.model.value()) ^ (*ask.prompt)[last].id);
-    for (std::size_t i = 0; i <= last; ++i)
-        shared.tokens += (*ask.prompt)[i].tokens;
-    return shared;
-}
+} // namespace
 
-// The candidate that all entries agree on for these shared parts; null if there are none.
-const EndpointRecord *ownerOf(const SharedPrompt &shared,
-                              const std::vector<const EndpointRecord *> &candidates)
+bool EndpointPicker::isSameRegion(const DataCentreId &other) const
 {
-    if (shared.tokens == 0)
-        return nullptr;
-    const EndpointRecord *owner = nullptr;
-    std::uint64_t highest = 0;
-    for (const EndpointRecord *candidate : candidates) {
-        const std::uint64_t score = mix(shared.hash ^ textHash(candidate->id.value()));
-        if (!owner || score > highest) {
-            owner = candidate;
-            highest = score;
-        }
-    }
-    return owner;
+    const auto own = regions_.find(own_);
+    const auto there = regions_.find(other);
+    const bool areKnown = own != regions_.end() && there != regions_.end();
+    return other == own_ || (areKnown && own->second == there->second);
 }
 
-} // namespace
-
 double EndpointPicker::distance(const DataCentreId &other, double bytes) const
 {
     if (other == own_)
         return 0;
-    const auto own = regions_.find(own_);
-    const auto there = regions_.find(other);
-    const bool isSameRegion =
-            own != regions_.end() && there != regions_.end() && own->second == there->second;
-    if (isSameRegion)
+    if (isSameRegion(other))
         return weights_.otherDataCentre;
     return weights_.otherRegion + weights_.perRegionByte * bytes;
 }
@@ -100,11 +71,36 @@
     return result;
 }
 
+// The candidate in this region that all its entries agree on for these shared parts, so that
+// requests meet there before anything is known of them; null without shared parts.
+const EndpointRecord *
+EndpointPicker::firstChoice(const PromptMatch *match,
+                            const std::vector<const EndpointRecord *> &candidates) const
+{
+    if (!match || match->prefixes.empty())
+        return nullptr;
+    const EndpointRecord *first = nullptr;
+    std::pair<bool, std::uint64_t> highest;
+    for (const EndpointRecord *candidate : candidates) {
+        const std::uint64_t score = mix(match->prefixes.back() ^ textHash(candidate->id.value()));
+        const std::pair<bool, std::uint64_t> rank(isSameRegion(candidate->dataCentre), score);
+        if (!first || rank > highest) {
+            first = candidate;
+            highest = rank;
+        }
+    }
+    return first;
+}
+
 Pick EndpointPicker::pick(const std::vector<const EndpointRecord *> &candidates, const PickAsk &ask,
                           const EndpointMonitor &monitor, Instant now) const
 {
-    const SharedPrompt shared = sharedPrompt(ask);
-    const EndpointRecord *owner = ownerOf(shared, candidates);
+    const PromptMatch *match = ask.match;
+    const double shared = match ? match->shared() : 0;
+    const bool isKnown = match && match->heldAnywhere() > kKnownPart * shared;
+    const EndpointRecord *first = isKnown ? nullptr : firstChoice(match, candidates);
+    // Nothing of what nobody has read yet is read again.
+    const double billable = isKnown ? match->heldAnywhere() : shared;
     double prompt = 0;
     if (ask.prompt) {
         for (const PromptPart &part : *ask.prompt)
@@ -114,16 +110,19 @@
     double least = std::numeric_limits<double>::max();
     double backlog = 0;
     for (const EndpointRecord *candidate : candidates) {
-        const bool isOwner = owner && candidate == owner;
-        const double kept = isOwner ? static_cast<double>(shared.tokens) : 0;
-        const double unread = (prompt - kept) * ask.modelWeight;
+        const double held = match ? match->heldBy(candidate->id) : 0;
+        const double likelyHeld = candidate == first ? shared : held;
+        const double unread = (prompt - held) * ask.modelWeight;
         const double work = weights_.perUnreadToken * unread;
-        const double expected = cost(*candidate, ask, monitor, now) + work;
-        const double billed = weights_.perRereadToken * (static_cast<double>(shared.tokens) - kept);
+        const double ahead = cost(*candidate, ask, monitor, now);
+        const double delayed = weights_.perDelayed * work * monitor.busy(candidate->id, now);
+        const double likelyWork = weights_.perUnreadToken * (prompt - likelyHeld) * ask.modelWeight;
+        const double billed = weights_.perRereadToken * std::max(0.0, billable - likelyHeld);
+        const double score = ahead + likelyWork + delayed + billed;
         backlog += weights_.perUnreadToken * monitor.unreadTokens(candidate->id, now);
-        if (expected + billed < least) {
-            least = expected + billed;
-            best = Pick{candidate, expected, static_cast<std::uint32_t>(unread), work, 0};
+        if (score < least) {
+            least = score;
+            best = Pick{candidate, ahead + work, static_cast<std::uint32_t>(unread), work, 0};
         }
     }
     if (best.endpoint)
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -4,14 +4,15 @@
 //   EndpointPicker picker(own data centre, regions);
 //   const EndpointRecord *endpoint = picker.pick(candidates, ask, monitor, now);
 //
-// Where a prompt's shared parts are likely cached follows from a rendezvous hash, so that all
-// entries agree on it without talking.
+// Where a prompt's shared parts are cached is known from core/prompt_index.h. Of parts that nobody
+// has read yet, a rendezvous hash tells the endpoint on which the entries of a region meet.
 
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_PICK_H
 #define FIREFLYROUTE_CORE_ENDPOINT_PICK_H
 
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_registry.h"
+#include "core/prompt_index.h"
 #include "core/site_calls.h"
 
 #include <map>
@@ -25,13 +26,16 @@
 struct PickWeights
 {
     double perUnreadToken = 0.04; // of a prompt, on the largest model
-    double perRereadToken = 0.05; // of a shared part that its owner has read already: billed
+    double perRereadToken = 0.05; // of a shared part that another endpoint holds: billed
     double otherDataCentre = 3;
     double otherRegion = 24; // the round trip
     double perRegionByte = 0.008; // bytes between regions are billed
     double perBusyShare = 220; // of a model engine whose slots are all taken
     double perWaiting = 600; // for as many requests beyond the slots as there are slots
     double perSlowness = 150; // for each time that a model engine is slower than the others
+    // For each request that runs at a model engine, in parts of the time that the prompt takes
+    // there: a prompt that is read delays the tokens of all of them.
+    double perDelayed = 0.05;
     double warmup = 400; // while the endpoint says that it is still slow
 };
 
@@ -39,6 +43,7 @@
 struct PickAsk
 {
     const std::vector<PromptPart> *prompt = nullptr; // null for plain services
+    const PromptMatch *match = nullptr; // where it is cached; null for plain services
     ModelName model;
     double modelWeight = 1; // time that the model takes, in parts of the largest one's
     double workMs = 60; // usual time of such a request
@@ -70,6 +75,10 @@
                             const PickAsk &ask, const EndpointMonitor &monitor, Instant now) const;
 
 private:
+    [[nodiscard]] const EndpointRecord *
+    firstChoice(const PromptMatch *match,
+                const std::vector<const EndpointRecord *> &candidates) const;
+    [[nodiscard]] bool isSameRegion(const DataCentreId &other) const;
     [[nodiscard]] double distance(const DataCentreId &other, double bytes) const;
     [[nodiscard]] double cost(const EndpointRecord &endpoint, const PickAsk &ask,
                               const EndpointMonitor &monitor, Instant now) const;
--- a/core/model_choice.h
+++ b/core/model_choice.h
@@ -20,10 +20,13 @@
 struct ModelPolicy
 {
     // Below this confidence a larger model answers instead, if it can in good time.
-    double minConfidence = 50;
+    double minConfidence = 58;
+    // An answer that is doubted but not below this confidence is tried by the next larger model:
+    // it is cheaper than the largest and often good enough.
+    double nearConfidence = 40;
     // The bound falls once the larger model's answer is expected to take more than this part of the
     // route's objective, and is 0 when it is expected to miss it.
-    double easyPart = 0.35;
+    double easyPart = 0.6;
     // A larger model answers only if its whole answer is expected within this part of the time.
     double longestPart = 0.75;
     // Under load the bound falls for work that holds up more: it is 0 once the time that the prompt
@@ -63,11 +66,13 @@
     // The model to begin with, as an index into the route's models.
     [[nodiscard]] std::size_t first(const Route & /*route*/) const { return 0; }
 
-    // The model that answers instead of one that is not confident: the largest, so that no second
-    // answer is dropped.
-    [[nodiscard]] std::size_t next(const Route &route, std::size_t /*model*/) const
+    // The model that answers instead of one that is not confident.
+    [[nodiscard]] std::size_t next(const Route &route, std::size_t model,
+                                   std::uint32_t confidence) const
     {
-        return route.models.size() - 1;
+        const std::size_t largest = route.models.size() - 1;
+        const bool isNear = model == 0 && confidence >= policy_.nearConfidence;
+        return isNear ? std::min(largest, model + 1) : largest;
     }
 
     // Whether the answer of a model with this confidence is delivered, rather than another one's.
--- a/core/prefix_cache.cpp
+++ b/core/prefix_cache.cpp
@@ -42,9 +42,10 @@
     return hashes;
 }
 
-void PrefixCache::observe(const EndpointId &endpoint, std::span<const std::uint64_t> prefixes,
+bool PrefixCache::observe(const EndpointId &endpoint, std::span<const std::uint64_t> prefixes,
                           Instant at)
 {
+    bool isNews = false;
     for (const std::uint64_t prefix : prefixes) {
         Entry &entry = touch(prefix);
         auto place = std::find_if(entry.seen.begin(), entry.seen.end(),
@@ -53,9 +54,11 @@
             place = std::min_element(entry.seen.begin(), entry.seen.end(),
                                      [](const Seen &a, const Seen &b) { return a.at < b.at; });
         }
+        isNews = isNews || place->endpoint != endpoint || at - place->at > kNewsAfter;
         if (place->endpoint != endpoint || place->at < at)
             *place = Seen{endpoint, at};
     }
+    return isNews;
 }
 
 void PrefixCache::forget(const EndpointId &endpoint, Instant at)
@@ -81,7 +84,8 @@
         for (const Seen &seen : entry->second->seen) {
             if (seen.endpoint.empty() || isStale(seen) || isKnown(seen.endpoint))
                 continue;
-            found.push_back(PrefixHolder{seen.endpoint, fraction * survival(now - seen.at)});
+            const double hit = fraction * survival(now - seen.at);
+            found.push_back(PrefixHolder{seen.endpoint, hit, blocks});
         }
     }
     std::stable_sort(found.begin(), found.end(),
--- a/core/prefix_cache.h
+++ b/core/prefix_cache.h
@@ -38,6 +38,7 @@
 {
     EndpointId endpoint;
     double hit = 0; // expected fraction of the prompt's blocks found in its cache
+    std::size_t blocks = 0; // of the longest prefix that it was seen with
 
     bool operator==(const PrefixHolder &) const = default;
 };
@@ -50,8 +51,9 @@
         : capacity_(capacity)
     {}
 
-    // The endpoint held these prefixes at that time.
-    void observe(const EndpointId &endpoint, std::span<const std::uint64_t> prefixes, Instant at);
+    // The endpoint held these prefixes at that time. Whether that is news: one of them was not
+    // known to be there, or was seen there last longer than kNewsAfter before.
+    bool observe(const EndpointId &endpoint, std::span<const std::uint64_t> prefixes, Instant at);
 
     // The endpoint's cache was empty at that time.
     void forget(const EndpointId &endpoint, Instant at);
@@ -63,6 +65,7 @@
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
     static constexpr std::size_t kMaxHolders = 4;
+    static constexpr std::chrono::seconds kNewsAfter{10};
 
 private:
     struct Seen
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -18,6 +18,7 @@
 {
     VmId vm;
     bool isEntry = false;
+    DataCentreId dataCentre;
 };
 
 // An entry asks whether its state is the newest.
@@ -25,6 +26,7 @@
 {
     std::uint64_t nonce = 0; // returned in the reply
     std::uint64_t revision = 0; // of the state that the entry holds
+    std::uint64_t documentVersion = 0; // of the configuration in it
 };
 
 struct CurrencyReply
@@ -35,10 +37,11 @@
     std::vector<VmId> controlVms; // members of the group, to connect to
 };
 
-// The state of the site, sent after each change and to a newly connected entry.
+// The state of the site. The document's bytes are left out if the entry holds that version.
 struct StateUpdate
 {
     SiteData data;
+    bool sameDocument = false;
 };
 
 // Endpoint records that are new or changed.
@@ -102,9 +105,26 @@
     bool operator==(const SessionNews &) const = default;
 };
 
+// Prefixes of prompts that an endpoint was given to read, as hashes of a model and of the parts.
+struct PromptSighting
+{
+    EndpointId endpoint;
+    std::vector<std::uint64_t> prefixes; // shortest first
+
+    bool operator==(const PromptSighting &) const = default;
+};
+
+// From an entry to the leader, which passes it on to all other entries.
+struct PromptNews
+{
+    std::vector<PromptSighting> sightings;
+
+    bool operator==(const PromptNews &) const = default;
+};
+
 using SiteMessage =
         std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate, EndpointUpdate,
-                     OutcomeReport, WorkReport, ReplicaMessage, SessionNews>;
+                     OutcomeReport, WorkReport, ReplicaMessage, SessionNews, PromptNews>;
 
 } // namespace fireflyroute::core
 
--- a/core/testing/endpoint_pick_test.cpp
+++ b/core/testing/endpoint_pick_test.cpp
@@ -35,6 +35,14 @@
         candidates.push_back(records.back().get());
     }
 
+    // A request with `prompt`, as an entry that knows `index` sends it.
+    std::string pickForPrompt()
+    {
+        const ModelName model("m");
+        const PromptMatch match = index.match(model, prompt, kStart);
+        return pick({.prompt = &prompt, .match = &match, .model = model});
+    }
+
     std::string pick(const PickAsk &ask)
     {
         const Pick picked = picker.pick(candidates, ask, monitor, kStart);
@@ -44,6 +52,7 @@
     std::vector<std::unique_ptr<EndpointRecord>> records;
     std::vector<const EndpointRecord *> candidates;
     EndpointMonitor monitor;
+    PromptIndex index;
     EndpointPicker picker{kHere, {{kHere, "nairobi"}, {kThere, "kisumu"}}};
     std::vector<PromptPart> prompt{{1, 500}, {2, 4000}, {3, 600}};
 };
@@ -52,9 +61,9 @@
 
 BOOST_FIXTURE_TEST_CASE(requests_that_share_a_prompt_meet_on_one_endpoint, Fixture)
 {
-    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    const std::string owner = pickForPrompt();
     prompt.back().id = 99; // another request's own part
-    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) == owner);
+    BOOST_TEST(pickForPrompt() == owner);
 }
 
 BOOST_FIXTURE_TEST_CASE(shared_prompts_spread_over_the_endpoints, Fixture)
@@ -62,28 +71,68 @@
     std::set<std::string> owners;
     for (std::uint64_t subject = 10; subject < 40; ++subject) {
         prompt[1].id = subject;
-        owners.insert(pick({.prompt = &prompt, .model = ModelName("m")}));
+        owners.insert(pickForPrompt());
     }
     BOOST_TEST(owners.size() == candidates.size());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_prompt_goes_where_its_shared_parts_were_read, Fixture)
+{
+    const std::string first = pickForPrompt();
+    const EndpointId other(first == "a" ? "b" : "a");
+    // Another entry sent it elsewhere.
+    PromptIndex elsewhere;
+    elsewhere.sent(other, ModelName("m"), prompt, kStart);
+    index.heard(elsewhere.takeNews(), kStart);
+    BOOST_TEST(pickForPrompt() == other.value());
+    const PromptMatch match = index.match(ModelName("m"), prompt, kStart);
+    BOOST_TEST(match.shared() == 4500);
+    BOOST_TEST(match.heldBy(other) == 4500);
+    BOOST_TEST(match.heldBy(EndpointId(first)) == 0);
+    // Other models have caches of their own.
+    BOOST_TEST(index.match(ModelName("n"), prompt, kStart).heldAnywhere() == 0);
+    // Of another prompt only the first part is shared.
+    prompt[1].id = 77;
+    BOOST_TEST(index.match(ModelName("m"), prompt, kStart).heldBy(other) == 500);
+    BOOST_TEST(elsewhere.takeNews().sightings.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_long_shared_prompt_crosses_regions_and_a_short_one_does_not, Fixture)
+{
+    add("far", kThere);
+    index.sent(EndpointId("far"), ModelName("m"), prompt, kStart);
+    BOOST_TEST(pickForPrompt() == "far");
+    prompt[1] = {8, 50};
+    prompt[0] = {9, 100};
+    index.sent(EndpointId("far"), ModelName("m"), prompt, kStart);
+    BOOST_TEST(pickForPrompt() != "far");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_long_prompt_avoids_endpoints_where_it_delays_others, Fixture)
+{
+    const std::string first = pickForPrompt();
+    for (int i = 0; i < 40; ++i)
+        monitor.sent(EndpointId(first), 0);
+    BOOST_TEST(pickForPrompt() != first);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_busy_owner_is_passed_over, Fixture)
 {
-    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    const std::string owner = pickForPrompt();
     monitor.sent(EndpointId(owner), 30'000);
-    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) != owner);
+    BOOST_TEST(pickForPrompt() != owner);
     monitor.began(EndpointId(owner), 30'000);
-    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) == owner);
+    BOOST_TEST(pickForPrompt() == owner);
 }
 
 BOOST_FIXTURE_TEST_CASE(work_of_other_entries_counts, Fixture)
 {
-    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    const std::string owner = pickForPrompt();
     WorkExchange exchange(1s);
     exchange.receive(VmId("other"), {{{EndpointId(owner), 20, 30'000}}}, kStart);
     BOOST_TEST(exchange.othersOf(VmId("other"), kStart).work.empty());
     monitor.heardOthers(exchange.othersOf(VmId("own"), kStart), kStart);
-    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) != owner);
+    BOOST_TEST(pickForPrompt() != owner);
     BOOST_TEST(monitor.busy(EndpointId(owner), kStart) == 20);
     BOOST_TEST(exchange.othersOf(VmId("own"), kStart + 2s).work.empty());
 }
@@ -116,10 +165,10 @@
 
 BOOST_FIXTURE_TEST_CASE(a_slow_endpoint_is_passed_over, Fixture)
 {
-    const std::string owner = pick({.prompt = &prompt, .model = ModelName("m")});
+    const std::string owner = pickForPrompt();
     for (int i = 0; i < 20; ++i)
         monitor.paced(EndpointId(owner), 5);
-    BOOST_TEST(pick({.prompt = &prompt, .model = ModelName("m")}) != owner);
+    BOOST_TEST(pickForPrompt() != owner);
 }
 
 BOOST_AUTO_TEST_CASE(one_failed_answer_is_no_reason_to_rest)
@@ -139,7 +188,9 @@
     route.models = {ModelName("s"), ModelName("m"), ModelName("l")};
     route.latencyObjective = 1s;
     BOOST_TEST(chooser.first(route) == 0U);
-    BOOST_TEST(chooser.next(route, 0) == 2U);
+    BOOST_TEST(chooser.next(route, 0, 10) == 2U);
+    BOOST_TEST(chooser.next(route, 0, 50) == 1U);
+    BOOST_TEST(chooser.next(route, 1, 50) == 2U);
     const auto keeps = [&](std::size_t model, std::uint32_t confidence, Duration first) {
         return chooser.keeps(route, model, confidence, {first, first + 2s, 10s});
     };
--- a/core/testing/prefix_cache_test.cpp
+++ b/core/testing/prefix_cache_test.cpp
@@ -44,6 +44,18 @@
     BOOST_TEST(cache.holders(prefixes, kStart)[0].hit == fresh);
 }
 
+BOOST_AUTO_TEST_CASE(a_sighting_is_news_once_in_a_while)
+{
+    PrefixCache cache(100);
+    const std::vector<std::uint64_t> prefixes{1, 2};
+    BOOST_TEST(cache.observe(kEndpoint, prefixes, kStart));
+    BOOST_TEST(!cache.observe(kEndpoint, prefixes, kStart + 5s));
+    BOOST_TEST(cache.observe(EndpointId("e2"), prefixes, kStart + 5s));
+    BOOST_TEST(cache.observe(kEndpoint, prefixes, kStart + 16s));
+    BOOST_TEST(cache.observe(kEndpoint, std::vector<std::uint64_t>{1, 3}, kStart + 16s));
+    BOOST_TEST(cache.holders(prefixes, kStart + 16s).front().blocks == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(memory_is_bounded_and_the_least_recent_goes)
 {
     PrefixCache cache(10);
--- /dev/null
+++ b/core/testing/state_feed_test.cpp
@@ -0,0 +1,68 @@
+// Which entry is sent the state by whom.
+
+#define BOOST_TEST_MODULE state_feed
+#include "core/state_feed.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fireflyroute::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant kStart = Instant() + 100s;
+
+SiteData state(std::uint64_t revision, std::uint64_t version)
+{
+    SiteData data;
+    data.revision = revision;
+    data.document = {version, "document"};
+    return data;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_entry_of_the_region_gets_each_change_once)
+{
+    StateFeed feed(true);
+    BOOST_TEST(!feed.onChange(state(1, 7), kStart).has_value()); // nothing is known of the entry
+    feed.holds(0, 0);
+    BOOST_TEST(feed.onProbe(state(1, 7), false, kStart, kStart).has_value());
+    BOOST_TEST(!feed.onChange(state(1, 7), kStart + 1s).has_value());
+    BOOST_TEST(feed.onChange(state(2, 8), kStart + 1s).has_value());
+    // Quick changes wait for the pause, and the last one is sent.
+    BOOST_TEST(!feed.onChange(state(3, 9), kStart + 1010ms).has_value());
+    BOOST_TEST(feed.isDue(state(4, 10)));
+    const auto update = feed.onChange(state(4, 10), kStart + 1100ms);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(update->data.revision == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_elsewhere_gets_a_change_from_the_leader_if_it_stays_behind)
+{
+    StateFeed feed(false);
+    feed.holds(1, 7);
+    BOOST_TEST(!feed.onChange(state(2, 8), kStart).has_value());
+    BOOST_TEST(!feed.onProbe(state(2, 8), true, kStart, kStart + 300ms).has_value());
+    BOOST_TEST(!feed.onProbe(state(2, 8), false, kStart, kStart + 700ms).has_value());
+    BOOST_TEST(feed.onProbe(state(2, 8), true, kStart, kStart + 700ms).has_value());
+    BOOST_TEST(!feed.onProbe(state(2, 8), true, kStart, kStart + 1100ms).has_value());
+    // It was lost with the connection.
+    BOOST_TEST(feed.onProbe(state(2, 8), true, kStart, kStart + 1400ms).has_value());
+    feed.holds(2, 8);
+    BOOST_TEST(!feed.onProbe(state(2, 8), true, kStart, kStart + 5s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_document_that_the_entry_holds_is_left_out)
+{
+    StateFeed feed(true);
+    feed.holds(1, 7);
+    const auto same = feed.onChange(state(2, 7), kStart);
+    BOOST_REQUIRE(same.has_value());
+    BOOST_TEST(same->sameDocument);
+    BOOST_TEST(same->data.document.bytes.empty());
+    const auto other = feed.onChange(state(3, 8), kStart + 1s);
+    BOOST_REQUIRE(other.has_value());
+    BOOST_TEST(!other->sameDocument);
+    BOOST_TEST(other->data.document.bytes == "document");
+}
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -168,13 +168,13 @@
 template<class Archive>
 void serialize(Archive &archive, Greeting &message)
 {
-    archive(message.vm, message.isEntry);
+    archive(message.vm, message.isEntry, message.dataCentre);
 }
 
 template<class Archive>
 void serialize(Archive &archive, CurrencyProbe &message)
 {
-    archive(message.nonce, message.revision);
+    archive(message.nonce, message.revision, message.documentVersion);
 }
 
 template<class Archive>
@@ -186,7 +186,7 @@
 template<class Archive>
 void serialize(Archive &archive, StateUpdate &message)
 {
-    archive(message.data);
+    archive(message.data, message.sameDocument);
 }
 
 template<class Archive>
@@ -232,6 +232,18 @@
     archive(message.runs);
 }
 
+template<class Archive>
+void serialize(Archive &archive, PromptSighting &sighting)
+{
+    archive(sighting.endpoint, sighting.prefixes);
+}
+
+template<class Archive>
+void serialize(Archive &archive, PromptNews &message)
+{
+    archive(message.sightings);
+}
+
 } // namespace cereal
 
 namespace fireflyroute::net {
