--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -108,7 +108,6 @@
     }
     Pick best;
     double least = std::numeric_limits<double>::max();
-    double backlog = 0;
     for (const EndpointRecord *candidate : candidates) {
         const double held = match ? match->heldBy(candidate->id) : 0;
         const double likelyHeld = candidate == first ? shared : held;
@@ -119,14 +118,13 @@
         const double likelyWork = weights_.perUnreadToken * (prompt - likelyHeld) * ask.modelWeight;
         const double billed = weights_.perRereadToken * std::max(0.0, billable - likelyHeld);
         const double score = ahead + likelyWork + delayed + billed;
-        backlog += weights_.perUnreadToken * monitor.unreadTokens(candidate->id, now);
         if (score < least) {
             least = score;
             best = Pick{candidate, ahead + work, static_cast<std::uint32_t>(unread), work, 0};
         }
     }
     if (best.endpoint)
-        best.backlogMs = backlog / static_cast<double>(candidates.size());
+        best.backlogMs = weights_.perUnreadToken * monitor.unreadTokens(best.endpoint->id, now);
     return best;
 }
 
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -26,7 +26,7 @@
 struct PickWeights
 {
     double perUnreadToken = 0.04; // of a prompt, on the largest model
-    double perRereadToken = 0.05; // of a shared part that another endpoint holds: billed
+    double perRereadToken = 0.08; // of a shared part that another endpoint holds: billed
     double otherDataCentre = 3;
     double otherRegion = 24; // the round trip
     double perRegionByte = 0.008; // bytes between regions are billed
@@ -57,7 +57,7 @@
     double expectedMs = 0; // until the first part of the answer, roughly
     std::uint32_t unreadTokens = 0; // of the prompt, in tokens of the largest model
     double workMs = 0; // time that the prompt takes of the endpoint
-    double backlogMs = 0; // prompts that wait on the candidates, on average
+    double backlogMs = 0; // prompts that wait there already
 };
 
 class EndpointPicker
--- a/core/model_choice.h
+++ b/core/model_choice.h
@@ -30,7 +30,7 @@
     // A larger model answers only if its whole answer is expected within this part of the time.
     double longestPart = 0.75;
     // Under load the bound falls for work that holds up more: it is 0 once the time that the prompt
-    // takes, times the time that prompts wait already, reaches this many square milliseconds.
+    // takes, times the time that prompts wait there already, reaches this many square milliseconds.
     double heldUpMs2 = 130'000;
 };
 
@@ -41,7 +41,7 @@
     Duration whole{};
     Duration deadline{};
     double workMs = 0; // time that its prompt takes of an endpoint
-    double backlogMs = 0; // time that prompts wait on the endpoints, on average
+    double backlogMs = 0; // time that prompts wait already where it would be sent
 };
 
 // What a model costs, in parts of the service's dearest one; 1 if it is not known.
