Judge versions by failures of their own, and rest endpoints whose address another one has

Each entry asked the endpoints that live under another id every half second (78 answers 421 in four seconds).

Ruled out: a version that is bad (the stand-in ordered a good one); too few answers of the canary (115).

An endpoint whose address another one has rests for 5 s.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -15,8 +15,9 @@
 // A connection is new after a round trip; between regions that takes 24 ms, a lost packet 200 ms.
 constexpr std::chrono::milliseconds kConnectTimeout{600};
 
-// Connections that may fail before a request is refused; none of them carried a byte of it.
-constexpr std::uint32_t kMaxConnectFailures = 3;
+// Connections that may fail before a request is refused; none of them carried a byte of it. Half of
+// the endpoints may have crashed together, and a refused connection costs one round trip.
+constexpr std::uint32_t kMaxConnectFailures = 8;
 
 // How long a request waits for the next change while the process starts.
 constexpr std::chrono::milliseconds kStartWait{1500};
@@ -306,7 +307,7 @@
     if (attempt_->meta.notRun || head.status >= proxy::kFirstFailureStatus)
         return;
     if (!isSound(*attempt_)) {
-        failAttempt(core::Ran::Unknown, "unsound answer", false);
+        failAttempt(core::Ran::Yes, "unsound answer", false);
         return;
     }
     if (isStream() && escalates())
@@ -382,7 +383,7 @@
     const core::EndpointId id = attempt_->endpoint.id;
     const core::Instant now = plane_.clock.now();
     if (attempt_->meta.wrongEndpoint)
-        plane_.monitor.failed(id, true, now);
+        plane_.monitor.wasReplaced(id, now);
     else
         plane_.monitor.wasFull(id, now);
     const bool isWrong = attempt_->meta.wrongEndpoint;
@@ -547,8 +548,10 @@
     const core::Instant now = plane_.clock.now();
     const core::EndpointRecord endpoint = attempt_->endpoint;
     plane_.monitor.failed(endpoint.id, severe, now);
-    if (ran != core::Ran::No)
+    if (ran == core::Ran::Yes)
         plane_.noteOutcome(endpoint, route_->name, false, now - attempt_->sentAt);
+    else if (ran == core::Ran::Unknown)
+        plane_.noteBroken(endpoint, route_->name, now);
     tried_.insert(endpoint.id);
     dropAttempt();
     retryOrGiveUp(ran, cause);
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -213,7 +213,7 @@
         outcomeTimer_.async_wait([this](const boost::system::error_code &) {
             if (entry_.isRolloutUnderWay()) {
                 boost::asio::post(traffic_, [this] {
-                    boost::asio::post(io_, [this, report = plane_.takeOutcomes()] {
+                    boost::asio::post(io_, [this, report = plane_.takeOutcomes(clock_.now())] {
                         entry_.tellLeader(report);
                     });
                 });
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -175,6 +175,12 @@
         usual->second += kLatencyMemory * (taken.count() - usual->second);
 }
 
+void TrafficPlane::noteBroken(const core::EndpointRecord &endpoint, const std::string &route,
+                              core::Instant now)
+{
+    faults_.note({endpoint.id, endpoint.service, endpoint.version, route}, now);
+}
+
 void TrafficPlane::noteRunning(const core::EndpointRecord &endpoint, const std::string &route,
                                int change)
 {
@@ -217,8 +223,10 @@
     return usual->second;
 }
 
-core::OutcomeReport TrafficPlane::takeOutcomes()
+core::OutcomeReport TrafficPlane::takeOutcomes(core::Instant now)
 {
+    for (const core::BrokenRun &run : faults_.take(now))
+        ++outcomes_[{run.service, run.version, run.route}].bad;
     core::OutcomeReport report;
     for (auto it = outcomes_.begin(); it != outcomes_.end();) {
         core::OutcomeCount &count = it->second;
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -9,6 +9,7 @@
 #include "app/structured_log.h"
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_pick.h"
+#include "core/fault_sieve.h"
 #include "core/model_choice.h"
 #include "core/prompt_index.h"
 #include "core/retry_budget.h"
@@ -80,6 +81,9 @@
     // Counts an outcome for roll-outs, and the requests that run.
     void noteOutcome(const core::EndpointRecord &endpoint, const std::string &route, bool good,
                      core::Duration latency);
+    // Counts a run that ended without an answer, unless many others did at the same time.
+    void noteBroken(const core::EndpointRecord &endpoint, const std::string &route,
+                    core::Instant now);
     void noteRunning(const core::EndpointRecord &endpoint, const std::string &route, int change);
 
     // Usual time to the first part of an answer on a route.
@@ -97,7 +101,7 @@
     double usualWork(const std::string &route, double workMs);
 
     // The counts since the last call.
-    [[nodiscard]] core::OutcomeReport takeOutcomes();
+    [[nodiscard]] core::OutcomeReport takeOutcomes(core::Instant now);
 
     void tend(); // once a second: expires connections and sessions
 
@@ -133,6 +137,7 @@
 
     std::map<core::ServiceName, Budgets> budgets_;
     std::map<OutcomeKey, core::OutcomeCount> outcomes_;
+    core::FaultSieve faults_;
     const core::Instant startedAt_;
     std::vector<std::function<void()>> waiting_; // bounded by kMaxWaiting
     std::map<std::string, double> usualMs_; // moving average by route
--- a/core/endpoint_monitor.cpp
+++ b/core/endpoint_monitor.cpp
@@ -114,6 +114,13 @@
     seen.restsUntil = now + std::min(policy_.firstRest * (1U << doublings), policy_.longestRest);
 }
 
+void EndpointMonitor::wasReplaced(const EndpointId &id, Instant now)
+{
+    Seen &seen = seen_[id];
+    ++seen.failedInRow;
+    seen.restsUntil = now + policy_.longestRest;
+}
+
 void EndpointMonitor::wasFull(const EndpointId &id, Instant now)
 {
     seen_[id].fullUntil = now + kFullPause;
--- a/core/endpoint_monitor.h
+++ b/core/endpoint_monitor.h
@@ -70,6 +70,9 @@
     // A request failed there. Severe: the endpoint did not even accept it.
     void failed(const EndpointId &id, bool severe, Instant now);
 
+    // Another endpoint answered at its address: it has ended, or lives on under another id.
+    void wasReplaced(const EndpointId &id, Instant now);
+
     // It said that it is full.
     void wasFull(const EndpointId &id, Instant now);
 
--- a/core/testing/endpoint_pick_test.cpp
+++ b/core/testing/endpoint_pick_test.cpp
@@ -163,6 +163,16 @@
     BOOST_TEST(monitor.isUsable(id, kStart + 600ms));
 }
 
+// Own day cut-workers: endpoints that started anew behind a cut were asked every half second.
+BOOST_AUTO_TEST_CASE(an_endpoint_whose_address_another_one_has_rests_long)
+{
+    EndpointMonitor monitor;
+    const EndpointId id("a");
+    monitor.wasReplaced(id, kStart);
+    BOOST_TEST(!monitor.isUsable(id, kStart + 4s));
+    BOOST_TEST(monitor.isUsable(id, kStart + 5s));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_slow_endpoint_is_passed_over, Fixture)
 {
     const std::string owner = pickForPrompt();
