Serve latency histograms by kind of route, rank, model and outcome

Cause: the metrics address told counters and moving averages only; on-call engineers could not see how a kind of request is answered under load.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -108,6 +108,8 @@
     void giveUp(std::string_view cause);
     void refuse(core::Refusal refusal);
     void finish(std::string_view outcome, unsigned status);
+    void noteLatency(std::string_view outcome, core::Instant now);
+    [[nodiscard]] std::uint32_t rank() const; // of the account, or else of the route
 
     void armTimer();
     [[nodiscard]] core::Instant stallsAt() const;
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -274,8 +274,7 @@
     dispatch.deadline = deadlineAt_ - now;
     if (!route_->models.empty()) {
         dispatch.model = route_->models[model_];
-        const std::uint32_t rank = account_ && account_->rank ? *account_->rank : route_->rank;
-        dispatch.urgency = std::min(rank * proxy::kUrgencyPerRank, proxy::kMaxUrgency);
+        dispatch.urgency = std::min(rank() * proxy::kUrgencyPerRank, proxy::kMaxUrgency);
     }
     dispatch.resumeAfter = splice_.lastEvent();
     return dispatch;
@@ -694,12 +693,35 @@
         if (attempt_->meta.confidence)
             line.add("confidence", static_cast<std::int64_t>(*attempt_->meta.confidence));
     }
+    noteLatency(outcome, now);
     dropAttempt();
     timer_.cancel();
     session_->whenGone(nullptr);
     session_.reset();
 }
 
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::noteLatency(std::string_view outcome, core::Instant now)
+{
+    RequestLabels labels{"none", 0, "", std::string(outcome)};
+    if (route_) {
+        labels.kind = core::nameOf(route_->kind);
+        labels.rank = rank();
+        if (attempt_ && !route_->models.empty())
+            labels.model = route_->models[model_].value();
+    }
+    const bool hasEvent = attempt_ && attempt_->hasEvent;
+    plane_.histograms.count(labels, now - arrivedAt_,
+                            hasEvent ? std::optional(attempt_->firstEventAt - arrivedAt_)
+                                     : std::nullopt);
+}
+
+template<TrafficDialect Dialect>
+std::uint32_t ProxyRequest<Dialect>::rank() const
+{
+    return account_ && account_->rank ? *account_->rank : route_->rank;
+}
+
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::armTimer()
 {
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -35,6 +35,8 @@
             self.assertEqual(site.request("/nowhere/1")[0], 404)
             metrics = call("GET", site.entries[0] + ":9464", "/metrics")[2]
             self.assertIn("fireflyroute_entry_ready 1", metrics)
+            self.assertRegex(metrics, r'entry_request_seconds_count\{kind="safe",rank="\d+",model="",'
+                                      r'outcome="answered"\} [1-9]')
             lines = [one for one in site.log(site.entries[0]) if one["kind"] == "request"]
             self.assertTrue(any(one["outcome"] == "unknown_key" for one in lines))
             self.assertNotIn("k1", json.dumps(lines))
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -280,6 +280,7 @@
     for (const auto &[route, ms] : usualMs_)
         text += fmt::format("fireflyroute_entry_usual_latency_ms{{route=\"{}\"}} {:.1f}\n", route,
                             ms);
+    text += histograms.exposition();
     return text;
 }
 
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -5,6 +5,7 @@
 #define FIREFLYROUTE_APP_TRAFFIC_PLANE_H
 
 #include "app/endpoint_pool.h"
+#include "app/request_histograms.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
 #include "core/endpoint_monitor.h"
@@ -125,6 +126,7 @@
     EndpointPool pool;
     TrafficCounts counts;
     std::map<core::Refusal, std::uint64_t> refusals;
+    RequestHistograms histograms;
 
 private:
     using OutcomeKey = std::tuple<core::ServiceName, core::VersionName, std::string>;
