--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -11,6 +11,7 @@
 
 #include "app/traffic_plane.h"
 #include "core/event_stream.h"
+#include "core/sendings.h"
 #include "net/server_session.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -99,9 +100,8 @@
     void escalate();
     void notRun();
     void dropAttempt();
-    void failAttempt(core::Ran ran, std::string_view cause, bool severe);
-    // `arrived`: the endpoint may have got the request, whether or not it ran it.
-    void retryOrGiveUp(core::Ran ran, bool arrived, std::string_view cause);
+    void failAttempt(core::SendingEnd end, std::string_view cause, bool severe);
+    void retryOrGiveUp(core::SendingEnd end, std::string_view cause);
     void passOn();
     void finishStream();
     void notePace();
@@ -133,10 +133,7 @@
     core::EndpointId lastTried_;
     core::StreamSplice splice_;
     std::size_t model_ = 0; // index into the route's models
-    std::uint32_t attempts_ = 0; // sendings that may have run or may still run
-    std::uint32_t connectFailures_ = 0;
-    std::uint32_t rejections_ = 0; // sendings that an endpoint says it did not run
-    core::Ran ran_ = core::Ran::No; // over all sendings
+    core::Sendings sendings_;
     bool began_ = false; // the caller has a part of the answer
     bool done_ = false;
     bool counted_ = false; // as a first attempt of its service
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -15,13 +15,6 @@
 // A connection is new after a round trip; between regions that takes 24 ms, a lost packet 200 ms.
 constexpr std::chrono::milliseconds kConnectTimeout{600};
 
-// Connections that may fail before a request is refused; none of them carried a byte of it. Half of
-// the endpoints may have crashed together, and a refused connection costs one round trip.
-constexpr std::uint32_t kMaxConnectFailures = 8;
-
-// Endpoints that may say that they are full before the request is refused in turn.
-constexpr std::uint32_t kMaxRejections = 3;
-
 // How long a request waits for the next change while the process starts.
 constexpr std::chrono::milliseconds kStartWait{1500};
 
@@ -178,10 +171,9 @@
         return;
     }
     const core::Pick pick = pickFor(model_, now);
-    const bool isUntouched = attempts_ + rejections_ + connectFailures_ == 0;
     if (pick.endpoint)
         send(pick, now);
-    else if (isUntouched && plane_.isStarting(now))
+    else if (sendings_.isUntouched() && plane_.isStarting(now))
         waitForStart();
     else
         giveUp("no endpoint usable");
@@ -236,11 +228,12 @@
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::send(const core::Pick &pick, core::Instant now)
 {
+    sendings_.began();
     const core::EndpointRecord &endpoint = *pick.endpoint;
     std::shared_ptr<net::EndpointConnection> connection = plane_.pool.take(endpoint);
     if (!connection) {
         tried_.insert(endpoint.id);
-        retryOrGiveUp(core::Ran::No, false, "bad address");
+        retryOrGiveUp(core::SendingEnd::NotArrived, "bad address");
         return;
     }
     attempt_.emplace();
@@ -249,7 +242,6 @@
     attempt_->connection = connection;
     attempt_->sentAt = now;
     attempt_->progressAt = now;
-    ++attempts_;
     ++plane_.counts.attempts;
     attempt_->unreadTokens = pick.unreadTokens;
     plane_.monitor.sent(endpoint.id, pick.unreadTokens);
@@ -310,7 +302,7 @@
     if (attempt_->meta.notRun || head.status >= proxy::kFirstFailureStatus)
         return;
     if (!isSound(*attempt_)) {
-        failAttempt(core::Ran::Yes, "unsound answer", false);
+        failAttempt(core::SendingEnd::Unused, "unsound answer", false);
         return;
     }
     if (isStream() && escalates())
@@ -328,7 +320,7 @@
 bool ProxyRequest<Dialect>::escalates()
 {
     const bool mayEscalate = !began_ && attempt_->meta.confidence && !route_->models.empty()
-                             && attempts_ < route_->maxAttempts;
+                             && sendings_.hasRoom(route_->maxAttempts);
     if (!mayEscalate)
         return false;
     const core::Instant now = plane_.clock.now();
@@ -365,7 +357,7 @@
     const core::Instant now = plane_.clock.now();
     if (!plane_.trySecondAnswer(service_, now))
         return;
-    ran_ = core::Ran::Yes;
+    sendings_.ended(core::SendingEnd::Unused);
     ++plane_.counts.escalated;
     plane_.noteOutcome(attempt_->endpoint, route_->name, true, now - attempt_->sentAt);
     LogLine(plane_.log, LogKind::Attempt)
@@ -395,10 +387,7 @@
     if (isWrong)
         plane_.pool.drop(id);
     tried_.insert(id);
-    // What did not run there counts for no attempt, but its arrival counts for the budget.
-    --attempts_;
-    ++rejections_;
-    retryOrGiveUp(core::Ran::No, true,
+    retryOrGiveUp(core::SendingEnd::Rejected,
                   isWrong ? "another endpoint has the address" : "endpoint full");
 }
 
@@ -420,7 +409,7 @@
     for (const core::StreamEvent &event : attempt_->splitter.push(piece)) {
         const core::SpliceVerdict verdict = splice_.accept(event);
         if (verdict == core::SpliceVerdict::Gap) {
-            failAttempt(core::Ran::Yes, "gap in the stream", false);
+            failAttempt(core::SendingEnd::Unused, "gap in the stream", false);
             return;
         }
         if (verdict == core::SpliceVerdict::Relay) {
@@ -484,14 +473,14 @@
         plane_.noteOutcome(attempt_->endpoint, route_->name, false, now - attempt_->sentAt);
         plane_.monitor.failed(attempt_->endpoint.id, false, now);
     }
-    const bool mayRetry = isServerError && route_->isIdempotent() && attempts_ < route_->maxAttempts
-                          && deadlineAt_ - now > proxy::kLeastTime
-                          && plane_.tryRetry(service_, now);
+    const bool mayRetry =
+            isServerError && route_->isIdempotent() && sendings_.hasRoom(route_->maxAttempts)
+            && deadlineAt_ - now > proxy::kLeastTime && plane_.tryRetry(service_, now);
     if (mayRetry) {
         tried_.insert(attempt_->endpoint.id);
         const net::HttpResponseHead head = attempt_->head;
         dropAttempt();
-        ran_ = core::Ran::Yes;
+        sendings_.ended(core::SendingEnd::Unused);
         ++plane_.counts.retries;
         attempt();
         return;
@@ -509,7 +498,7 @@
 void ProxyRequest<Dialect>::finishStream()
 {
     if (attempt_->splitter.isMidEvent()) {
-        failAttempt(core::Ran::Yes, "ended within an event", false);
+        failAttempt(core::SendingEnd::Unused, "ended within an event", false);
         return;
     }
     if (!began_) {
@@ -542,56 +531,46 @@
     // Other waiting connections to the endpoint may have died with this one.
     if (!attempt_->hasHead)
         plane_.pool.drop(attempt_->endpoint.id);
-    if (!failure.mayHaveArrived) {
-        --attempts_;
-        ++connectFailures_;
-    }
     if (failure.error == net::ExchangeError::ConnectFailed)
         plane_.monitor.refused(attempt_->endpoint.id);
-    failAttempt(failure.mayHaveArrived ? core::Ran::Unknown : core::Ran::No,
+    failAttempt(failure.mayHaveArrived ? core::SendingEnd::Broke : core::SendingEnd::NotArrived,
                 core::nameOf(failure.error), severe);
 }
 
 template<TrafficDialect Dialect>
-void ProxyRequest<Dialect>::failAttempt(core::Ran ran, std::string_view cause, bool severe)
+void ProxyRequest<Dialect>::failAttempt(core::SendingEnd end, std::string_view cause, bool severe)
 {
     const core::Instant now = plane_.clock.now();
     const core::EndpointRecord endpoint = attempt_->endpoint;
     plane_.monitor.failed(endpoint.id, severe, now);
-    if (ran == core::Ran::Yes)
+    if (end == core::SendingEnd::Unused)
         plane_.noteOutcome(endpoint, route_->name, false, now - attempt_->sentAt);
-    else if (ran == core::Ran::Unknown)
+    else if (end == core::SendingEnd::Broke)
         plane_.noteBroken(endpoint, route_->name, now);
     tried_.insert(endpoint.id);
     dropAttempt();
-    // A sending of which no byte left takes nothing from the budget.
-    retryOrGiveUp(ran, ran != core::Ran::No, cause);
+    retryOrGiveUp(end, cause);
 }
 
 template<TrafficDialect Dialect>
-void ProxyRequest<Dialect>::retryOrGiveUp(core::Ran ran, bool arrived, std::string_view cause)
+void ProxyRequest<Dialect>::retryOrGiveUp(core::SendingEnd end, std::string_view cause)
 {
     const core::Instant now = plane_.clock.now();
-    if (ran != core::Ran::No)
-        ran_ = core::Ran::Unknown;
-    core::FailedAttempt failed;
-    failed.ran = ran_;
-    failed.idempotent = route_->isIdempotent();
-    failed.answerStarted = began_ && !isStream();
-    const core::RetryVerdict verdict = core::mayRetry(failed);
-    const bool isPossible = verdict == core::RetryVerdict::Allowed
-                            && attempts_ < route_->maxAttempts
-                            && connectFailures_ <= proxy::kMaxConnectFailures
-                            && rejections_ <= proxy::kMaxRejections;
-    const bool isAllowed = isPossible && (!arrived || plane_.tryRetry(service_, now));
+    sendings_.ended(end);
+    const core::RetryVerdict verdict =
+            sendings_.verdict(route_->isIdempotent(), began_ && !isStream());
+    const bool isPossible =
+            verdict == core::RetryVerdict::Allowed && sendings_.hasRoom(route_->maxAttempts);
+    const bool isAllowed =
+            isPossible && (!core::drawsOnBudget(end) || plane_.tryRetry(service_, now));
     LogLine(plane_.log, LogKind::Attempt)
             .add("id", meta_.id.value())
             .add("endpoint", lastTried_.value())
             .add("cause", cause)
-            .add("ran", core::nameOf(ran))
+            .add("end", core::nameOf(end))
             .add("verdict", core::nameOf(verdict))
             .add("decision", isAllowed ? "again" : "give up")
-            .add("attempts", attempts_)
+            .add("attempts", sendings_.attempts())
             .add("age_ms", proxy::toMillis(now - arrivedAt_));
     if (!isAllowed) {
         giveUp(cause);
@@ -631,12 +610,12 @@
         return;
     }
     const bool isLate = plane_.clock.now() + proxy::kLeastTime >= deadlineAt_;
-    if (ran_ != core::Ran::No)
+    if (sendings_.ran() != core::Ran::No)
         refuse(isLate ? core::Refusal::DeadlineExceeded : core::Refusal::EndpointFailed);
     else if (isLate)
         refuse(core::Refusal::Expired);
     else
-        refuse(rejections_ > 0 ? core::Refusal::NotRun : core::Refusal::NoEndpoint);
+        refuse(sendings_.wasRejected() ? core::Refusal::NotRun : core::Refusal::NoEndpoint);
 }
 
 template<TrafficDialect Dialect>
@@ -674,11 +653,11 @@
             .add("outcome", outcome)
             .add("status", status)
             .add("took_ms", proxy::toMillis(now - arrivedAt_))
-            .add("attempts", attempts_)
+            .add("attempts", sendings_.attempts())
             .add("revision", static_cast<std::int64_t>(plane_.view->revision))
             .add("proof_left_ms", proxy::toMillis(plane_.currentUntil - now));
     if (route_)
-        line.add("route", route_->name).add("ran", core::nameOf(ran_));
+        line.add("route", route_->name).add("ran", core::nameOf(sendings_.ran()));
     if (attempt_) {
         line.add("endpoint", attempt_->endpoint.id.value())
                 .add("version", attempt_->endpoint.version.value())
@@ -738,7 +717,7 @@
 core::Instant ProxyRequest<Dialect>::stallsAt() const
 {
     const bool mayGoElsewhere =
-            attempt_ && route_->isIdempotent() && attempts_ < route_->maxAttempts;
+            attempt_ && route_->isIdempotent() && sendings_.hasRoom(route_->maxAttempts);
     return mayGoElsewhere ? attempt_->progressAt + patience() : deadlineAt_;
 }
 
@@ -765,7 +744,7 @@
     const core::Instant now = plane_.clock.now();
     if (now >= deadlineAt_) {
         if (attempt_) {
-            ran_ = core::Ran::Unknown;
+            sendings_.ended(core::SendingEnd::Broke);
             dropAttempt();
         }
         giveUp("deadline");
@@ -773,7 +752,7 @@
     }
     const bool isSilent = now >= stallsAt();
     if (isSilent && plane_.hasRetry(service_, now)) {
-        failAttempt(core::Ran::Unknown, "silent", true);
+        failAttempt(core::SendingEnd::Broke, "silent", true);
         return;
     }
     // Nothing is gained by cutting off what can't be sent elsewhere: it may still be answered.
