--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -110,7 +110,8 @@
     double least = std::numeric_limits<double>::max();
     for (const EndpointRecord *candidate : candidates) {
         const double held = match ? match->heldBy(candidate->id) : 0;
-        const double likelyHeld = candidate == first ? shared : held;
+        const bool isFirst = first != nullptr && candidate == first;
+        const double likelyHeld = isFirst ? shared : held;
         const double unread = (prompt - held) * ask.modelWeight;
         const double work = weights_.perUnreadToken * unread;
         const double ahead = cost(*candidate, ask, monitor, now);
--- a/core/rollout_judge.cpp
+++ b/core/rollout_judge.cpp
@@ -26,8 +26,7 @@
         const bool isTarget = count.version == targets_[count.service];
         Counts &counts = (isTarget ? watch->second.target : watch->second.others)[count.route];
         counts.answers += count.good + count.bad + count.slow;
-        counts.bad += count.bad;
-        counts.slow += count.slow;
+        counts.bad += count.bad + count.slow;
         outstanding[count.service] += isTarget ? 0 : count.outstanding;
     }
     for (auto &[service, watch] : watches_)
@@ -69,8 +68,7 @@
 std::optional<RolloutStage> RolloutJudge::next(const Rollout &rollout, const Watch &watch,
                                                Instant now) const
 {
-    const bool isExpanding = rollout.stage == RolloutStage::Expanding;
-    if (isBad(watch, isExpanding ? policy_.slowPartExpanding : 1))
+    if (isBad(watch))
         return RolloutStage::RolledBack;
     const std::chrono::duration<double, std::milli> passed = now - watch.startedAt;
     const double part = passed.count() / std::max<double>(rollout.durationMs, 1);
@@ -90,23 +88,21 @@
     return std::nullopt;
 }
 
-bool RolloutJudge::isBad(const Watch &watch, double slowPart) const
+bool RolloutJudge::isBad(const Watch &watch) const
 {
     Counts allTarget;
     Counts allOthers;
     for (const auto &[route, counts] : watch.target) {
         const auto others = watch.others.find(route);
         const Counts reference = others == watch.others.end() ? Counts{} : others->second;
-        if (evidenceAgainst(counts, reference, slowPart) >= policy_.evidence)
+        if (evidenceAgainst(counts, reference) >= policy_.evidence)
             return true;
         allTarget.answers += counts.answers;
         allTarget.bad += counts.bad;
-        allTarget.slow += counts.slow;
         allOthers.answers += reference.answers;
         allOthers.bad += reference.bad;
-        allOthers.slow += reference.slow;
     }
-    return evidenceAgainst(allTarget, allOthers, slowPart) >= policy_.evidence;
+    return evidenceAgainst(allTarget, allOthers) >= policy_.evidence;
 }
 
 std::string RolloutJudge::describe(const ServiceName &service) const
@@ -118,27 +114,22 @@
     for (const auto &[route, counts] : found->second.target) {
         const auto others = found->second.others.find(route);
         const Counts reference = others == found->second.others.end() ? Counts{} : others->second;
-        text += fmt::format("{} {}+{}/{} bad+slow, others {}+{}/{}; ", route, counts.bad,
-                            counts.slow, counts.answers, reference.bad, reference.slow,
-                            reference.answers);
+        text += fmt::format("{} {}/{} bad, others {}/{}; ", route, counts.bad, counts.answers,
+                            reference.bad, reference.answers);
     }
     return text;
 }
 
 // Log likelihood ratio of "fails at badRate" against "fails as often as the others do".
-double RolloutJudge::evidenceAgainst(const Counts &target, const Counts &others,
-                                     double slowPart) const
+double RolloutJudge::evidenceAgainst(const Counts &target, const Counts &others) const
 {
-    const auto failures = [slowPart](const Counts &counts) {
-        return static_cast<double>(counts.bad) + slowPart * static_cast<double>(counts.slow);
-    };
     const double prior = policy_.goodBadRate;
     constexpr double kPriorAnswers = 20;
-    const double sound = (failures(others) + prior * kPriorAnswers)
+    const double sound = (static_cast<double>(others.bad) + prior * kPriorAnswers)
                          / (static_cast<double>(others.answers) + kPriorAnswers);
     const double good = std::clamp(sound, prior, 0.9);
     const double bad = std::max(policy_.badRate, std::min(good * 2, 0.95));
-    const double failed = failures(target);
+    const double failed = static_cast<double>(target.bad);
     const double fine = static_cast<double>(target.answers) - failed;
     return failed * std::log(bad / good) + fine * std::log((1 - bad) / (1 - good));
 }
--- a/core/rollout_judge.h
+++ b/core/rollout_judge.h
@@ -26,11 +26,8 @@
     double completeBy = 0.88; // completes even if other versions still have work
     std::uint32_t minAnswers = 5; // of the target, before it expands
     double goodBadRate = 0.03; // failures that a sound version may have on its own
-    double badRate = 0.33; // failures of a version that is certainly bad
+    double badRate = 0.25; // failures of a version that is certainly bad
     double evidence = 4.6; // natural logarithm of odds, 100 to 1
-    // A slow answer counts as this part of a failure once all work has moved: endpoints that have
-    // just taken it over are slow for a while.
-    double slowPartExpanding = 0.5;
 };
 
 class RolloutJudge
@@ -54,7 +51,6 @@
     {
         std::uint64_t answers = 0;
         std::uint64_t bad = 0;
-        std::uint64_t slow = 0;
     };
 
     struct Watch
@@ -67,10 +63,8 @@
         std::optional<Instant> expandedAt;
     };
 
-    // `slowPart`: what a slow answer counts for, in parts of a failure.
-    [[nodiscard]] bool isBad(const Watch &watch, double slowPart) const;
-    [[nodiscard]] double evidenceAgainst(const Counts &target, const Counts &others,
-                                         double slowPart) const;
+    [[nodiscard]] bool isBad(const Watch &watch) const;
+    [[nodiscard]] double evidenceAgainst(const Counts &target, const Counts &others) const;
     [[nodiscard]] std::optional<RolloutStage> next(const Rollout &rollout, const Watch &watch,
                                                    Instant now) const;
     Watch &watchOf(const Rollout &rollout, Instant now, WallTime wallNow);
--- a/core/testing/rollout_judge_test.cpp
+++ b/core/testing/rollout_judge_test.cpp
@@ -82,23 +82,16 @@
     BOOST_TEST(stageOf(step(18s)) == "completed");
 }
 
-// Own day cut-workers on Mavuno: once all work had moved, a sixth of the answers was slow or broken
-// off.
-BOOST_FIXTURE_TEST_CASE(a_sound_version_survives_the_move_of_all_work, Fixture)
+// Own day bad-slow, varied, --seed 279635887588 on Vedeni: a slow answer counted half once all work
+// had moved, and a slow version got more requests than it may.
+BOOST_FIXTURE_TEST_CASE(a_version_that_is_slow_once_all_work_moved_is_rolled_back, Fixture)
 {
-    report("v1", "a", 646, 44);
-    report("v2", "a", 148, 5, 0, 32);
+    report("v1", "a", 1129, 16, 0, 70);
+    report("v2", "a", 40, 1, 0, 5);
+    BOOST_TEST(stageOf(step(2s)) == "none");
     set(RolloutStage::Expanding);
-    BOOST_TEST(stageOf(step(12s)) == "none");
-    report("v2", "a", 20, 0, 0, 100);
-    BOOST_TEST(stageOf(step(13s)) == "rolled_back");
-}
-
-BOOST_FIXTURE_TEST_CASE(a_version_that_fails_a_third_is_rolled_back, Fixture)
-{
-    report("v1", "a", 646, 44);
-    report("v2", "a", 40, 20);
-    BOOST_TEST(stageOf(step(2s)) == "rolled_back");
+    report("v2", "a", 36, 0, 0, 16);
+    BOOST_TEST(stageOf(step(12s)) == "rolled_back");
 }
 
 BOOST_FIXTURE_TEST_CASE(a_version_that_fails_half_is_rolled_back_at_once, Fixture)
