One message for what entries tell each other, and one copy of small steps that stood twice

Cause: each kind of news between entries (sessions, prompts, refused connections) had its own message, codec, relay, output and handler, four places a kind. The same region was compared in two places, milliseconds were counted in three, the wait for a readable socket and its options stood in two and three connections. Which larger model answers was worked out twice for each such request, and a copied answer head was never read.

Change, without any in behaviour: core::EntryNews in one frame; core/regions.h; core::toMillis; net/socket_steps.h; ProxyRequest::largerModel() hands its model on. Tests keep their assertions, news_read_back is added.

Ruled out for now: one hash of strings for versions, endpoints and services, since it moves sessions and prompts to other places; ControlVm on ReplicaDriver, since it changes when the product's interface syncs.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -93,11 +93,11 @@
     void onGone();
 
     [[nodiscard]] bool isSound(const Attempt &attempt) const;
-    [[nodiscard]] bool escalates();
+    [[nodiscard]] std::optional<std::size_t> largerModel();
     [[nodiscard]] core::ExpectedAnswer expectedOf(std::size_t model, const core::Pick &pick,
                                                   core::Instant now);
     [[nodiscard]] core::Pick pickFor(std::size_t model, core::Instant now) const;
-    void escalate();
+    void escalate(std::size_t larger);
     void notRun();
     void dropAttempt();
     void failAttempt(core::SendingEnd end, std::string_view cause, bool severe);
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -50,11 +50,6 @@
 constexpr unsigned kFirstFailureStatus = 300;
 constexpr unsigned kFirstServerError = 500;
 
-inline std::int64_t toMillis(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 inline core::Duration scaled(core::Duration duration, double factor)
 {
     return std::chrono::duration_cast<core::Duration>(duration * factor);
@@ -305,8 +300,10 @@
         failAttempt(core::SendingEnd::Unused, "unsound answer", false);
         return;
     }
-    if (isStream() && escalates())
-        escalate();
+    if (!isStream())
+        return;
+    if (const std::optional<std::size_t> larger = largerModel())
+        escalate(*larger);
 }
 
 template<TrafficDialect Dialect>
@@ -315,21 +312,22 @@
     return attempt.meta.isSealed && !attempt.meta.isEncoded;
 }
 
-// Whether a larger model should answer instead, while the caller has nothing of this answer yet.
+// The model that should answer instead, while the caller has nothing of this answer yet.
 template<TrafficDialect Dialect>
-bool ProxyRequest<Dialect>::escalates()
+std::optional<std::size_t> ProxyRequest<Dialect>::largerModel()
 {
     const bool mayEscalate = !began_ && attempt_->meta.confidence && !route_->models.empty()
                              && sendings_.hasRoom(route_->maxAttempts);
     if (!mayEscalate)
-        return false;
+        return std::nullopt;
     const core::Instant now = plane_.clock.now();
     const std::uint32_t confidence = *attempt_->meta.confidence;
     const std::size_t next = plane_.models.next(*route_, model_, confidence);
     const core::Pick pick = pickFor(next, now);
-    if (!pick.endpoint)
-        return false;
-    return !plane_.models.keeps(*route_, model_, confidence, expectedOf(next, pick, now));
+    const bool isKept =
+            !pick.endpoint
+            || plane_.models.keeps(*route_, model_, confidence, expectedOf(next, pick, now));
+    return isKept ? std::nullopt : std::optional(next);
 }
 
 // When that model's answer would be there if it were sent now.
@@ -352,7 +350,7 @@
 }
 
 template<TrafficDialect Dialect>
-void ProxyRequest<Dialect>::escalate()
+void ProxyRequest<Dialect>::escalate(std::size_t larger)
 {
     const core::Instant now = plane_.clock.now();
     if (!plane_.trySecondAnswer(service_, now))
@@ -366,9 +364,8 @@
             .add("decision", "larger model")
             .add("model", route_->models[model_].value())
             .add("confidence", static_cast<std::int64_t>(*attempt_->meta.confidence));
-    const std::size_t next = plane_.models.next(*route_, model_, *attempt_->meta.confidence);
     dropAttempt();
-    model_ = next;
+    model_ = larger;
     attempt();
 }
 
@@ -478,7 +475,6 @@
             && deadlineAt_ - now > proxy::kLeastTime && plane_.tryRetry(service_, now);
     if (mayRetry) {
         tried_.insert(attempt_->endpoint.id);
-        const net::HttpResponseHead head = attempt_->head;
         dropAttempt();
         sendings_.ended(core::SendingEnd::Unused);
         ++plane_.counts.retries;
@@ -571,7 +567,7 @@
             .add("verdict", core::nameOf(verdict))
             .add("decision", isAllowed ? "again" : "give up")
             .add("attempts", sendings_.attempts())
-            .add("age_ms", proxy::toMillis(now - arrivedAt_));
+            .add("age_ms", core::toMillis(now - arrivedAt_));
     if (!isAllowed) {
         giveUp(cause);
         return;
@@ -652,10 +648,10 @@
     line.add("id", meta_.id.value())
             .add("outcome", outcome)
             .add("status", status)
-            .add("took_ms", proxy::toMillis(now - arrivedAt_))
+            .add("took_ms", core::toMillis(now - arrivedAt_))
             .add("attempts", sendings_.attempts())
             .add("revision", static_cast<std::int64_t>(plane_.view->revision))
-            .add("proof_left_ms", proxy::toMillis(plane_.currentUntil - now));
+            .add("proof_left_ms", core::toMillis(plane_.currentUntil - now));
     if (route_)
         line.add("route", route_->name).add("ran", core::nameOf(sendings_.ran()));
     if (attempt_) {
@@ -668,7 +664,7 @@
         if (attempt_->hasEvent)
             line.add("events", attempt_->events)
                     .add("likely_tokens", meta_.likelyOutputTokens.value_or(0))
-                    .add("first_ms", proxy::toMillis(attempt_->firstEventAt - attempt_->sentAt));
+                    .add("first_ms", core::toMillis(attempt_->firstEventAt - attempt_->sentAt));
         if (attempt_->meta.confidence)
             line.add("confidence", static_cast<std::int64_t>(*attempt_->meta.confidence));
     }
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -147,21 +147,19 @@
         return;
     }
     const core::Instant began = clock_.now();
-    driver_->propose(net::encodeCommand(command), [this, what, answered,
-                                                   began](core::ProposalOutcome outcome) {
-        const auto took =
-                std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - began);
-        LogLine(log_, LogKind::Config)
-                .add("order", what)
-                .add("outcome", core::nameOf(outcome))
-                .add("took_ms", took.count());
-        core::ControlAnswer answer;
-        if (outcome == core::ProposalOutcome::Committed)
-            answer.status = core::ControlStatus::Done;
-        else
-            answer.problem = core::nameOf(outcome);
-        answered(answer);
-    });
+    driver_->propose(net::encodeCommand(command),
+                     [this, what, answered, began](core::ProposalOutcome outcome) {
+                         LogLine(log_, LogKind::Config)
+                                 .add("order", what)
+                                 .add("outcome", core::nameOf(outcome))
+                                 .add("took_ms", core::toMillis(clock_.now() - began));
+                         core::ControlAnswer answer;
+                         if (outcome == core::ProposalOutcome::Committed)
+                             answer.status = core::ControlStatus::Done;
+                         else
+                             answer.problem = core::nameOf(outcome);
+                         answered(answer);
+                     });
 }
 
 void SiteControl::answer(const core::ReplaceConfigCall &call, const Answered &answered)
@@ -375,7 +373,8 @@
     peer.link->send(net::encodeMessage(exchange_.othersOf(peer.vm, now)));
 }
 
-void SiteControl::passOn(const Peer &peer, const core::SiteMessage &message)
+// To all entries but the one that told it.
+void SiteControl::take(Peer &peer, const core::EntryNews &message)
 {
     const std::string bytes = net::encodeMessage(message);
     for (auto &[link, other] : accepted_) {
@@ -496,11 +495,7 @@
 
 bool SiteControl::isNear(const core::DataCentreId &dataCentre) const
 {
-    const auto own = settings_.regions.find(settings_.dataCentre);
-    const auto other = settings_.regions.find(dataCentre);
-    const bool isSameRegion = own != settings_.regions.end() && other != settings_.regions.end()
-                              && own->second == other->second;
-    return isSameRegion || dataCentre == settings_.dataCentre;
+    return core::isSameRegion(settings_.regions, settings_.dataCentre, dataCentre);
 }
 
 void SiteControl::onRole(const core::RoleChanged &changed)
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -83,16 +83,11 @@
     void take(Peer &peer, const core::EndpointUpdate &message);
     void take(Peer &peer, const core::OutcomeReport &message);
     void take(Peer &peer, const core::WorkReport &message);
-    void take(Peer &peer, const core::SessionNews &message) { passOn(peer, message); }
-    void take(Peer &peer, const core::PromptNews &message) { passOn(peer, message); }
-    void take(Peer &peer, const core::RefusalNews &message) { passOn(peer, message); }
+    void take(Peer &peer, const core::EntryNews &message);
     void take(Peer &peer, const core::ReplicaMessage &message);
     void take(Peer & /*peer*/, const core::CurrencyReply & /*message*/) {}
     void take(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
 
-    // To all entries but the one that told it.
-    void passOn(const Peer &peer, const core::SiteMessage &message);
-
     // State.
     void apply(const std::string &payload);
     void onRole(const core::RoleChanged &changed);
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -39,9 +39,7 @@
     std::function<void(std::shared_ptr<const core::SiteView>)> viewChanged;
     std::function<void(core::Instant)> currentUntil;
     std::function<void(core::WorkReport)> othersWork;
-    std::function<void(core::SessionNews)> othersSessions;
-    std::function<void(core::PromptNews)> othersPrompts;
-    std::function<void(core::RefusalNews)> othersRefusals;
+    std::function<void(core::EntryNews)> othersNews;
 };
 
 class SiteEntry
@@ -82,17 +80,9 @@
     {
         outputs_.othersWork(message);
     }
-    void take(const core::VmId & /*vm*/, const core::SessionNews &message)
+    void take(const core::VmId & /*vm*/, const core::EntryNews &message)
     {
-        outputs_.othersSessions(message);
-    }
-    void take(const core::VmId & /*vm*/, const core::PromptNews &message)
-    {
-        outputs_.othersPrompts(message);
-    }
-    void take(const core::VmId & /*vm*/, const core::RefusalNews &message)
-    {
-        outputs_.othersRefusals(message);
+        outputs_.othersNews(message);
     }
     template<typename Other>
     void take(const core::VmId & /*vm*/, const Other & /*message*/)
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -152,20 +152,8 @@
                 plane_.monitor.heardOthers(report, clock_.now());
             });
         };
-        outputs.othersSessions = [this](core::SessionNews news) {
-            boost::asio::post(traffic_, [this, news = std::move(news)] {
-                plane_.pins.heard(news, clock_.now());
-            });
-        };
-        outputs.othersPrompts = [this](core::PromptNews news) {
-            boost::asio::post(traffic_, [this, news = std::move(news)] {
-                plane_.prompts.heard(news, clock_.now());
-            });
-        };
-        outputs.othersRefusals = [this](core::RefusalNews news) {
-            boost::asio::post(traffic_, [this, news = std::move(news)] {
-                plane_.monitor.heardRefusals(news, clock_.now());
-            });
+        outputs.othersNews = [this](core::EntryNews news) {
+            boost::asio::post(traffic_, [this, news = std::move(news)] { plane_.heardNews(news); });
         };
         return outputs;
     }
@@ -176,18 +164,12 @@
     {
         workTimer_.expires_after(kWorkPeriod);
         workTimer_.async_wait([this](const boost::system::error_code &) {
-            boost::asio::post(io_, [this, report = plane_.monitor.ownWork(),
-                                    sessions = plane_.pins.takeNews(),
-                                    prompts = plane_.prompts.takeNews(),
-                                    refusals = plane_.monitor.takeRefusals()] {
-                entry_.tellLeader(report);
-                if (!sessions.runs.empty())
-                    entry_.tellLeader(sessions);
-                if (!prompts.sightings.empty())
-                    entry_.tellLeader(prompts);
-                if (!refusals.endpoints.empty())
-                    entry_.tellLeader(refusals);
-            });
+            boost::asio::post(io_,
+                              [this, report = plane_.monitor.ownWork(), news = plane_.takeNews()] {
+                                  entry_.tellLeader(report);
+                                  if (!news.isEmpty())
+                                      entry_.tellLeader(news);
+                              });
             exchangeWork();
         });
     }
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -61,9 +61,9 @@
     return address;
 }
 
-Result<std::map<core::DataCentreId, std::string>> readRegions()
+Result<core::Regions> readRegions()
 {
-    std::map<core::DataCentreId, std::string> regions;
+    core::Regions regions;
     for (const std::string &item : splitList(FLAGS_site_regions)) {
         const std::size_t equals = item.find('=');
         if (equals == std::string::npos)
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -8,6 +8,7 @@
 #include "app/errors.h"
 #include "app/settings.h"
 #include "core/clock.h"
+#include "core/regions.h"
 #include "core/types.h"
 
 #include <cstdint>
@@ -24,7 +25,7 @@
     core::VmId vm; // the IP of the VM: members of the group find each other by it
     std::string name; // for people
     core::DataCentreId dataCentre;
-    std::map<core::DataCentreId, std::string> regions; // by data centre
+    core::Regions regions;
     std::string callerAddress; // "IP:PORT"; entries only
     std::string readinessAddress; // entries only
     std::string controlAddress; // control VMs only
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -43,6 +43,16 @@
             static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
 }
 
+// An average in milliseconds; 0 before the first value.
+template<typename Key>
+core::Duration averageOf(const std::map<Key, double> &averages, const Key &key)
+{
+    const auto found = averages.find(key);
+    const double ms = found == averages.end() ? 0 : found->second;
+    return std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double, std::milli>(ms));
+}
+
 } // namespace
 
 TrafficPlane::TrafficPlane(boost::asio::io_context &ioContext, const SiteSettings &siteSettings,
@@ -196,11 +206,7 @@
 
 core::Duration TrafficPlane::usualLatency(const std::string &route) const
 {
-    const auto found = usualMs_.find(route);
-    if (found == usualMs_.end())
-        return core::Duration::zero();
-    return std::chrono::duration_cast<core::Duration>(
-            std::chrono::duration<double, std::milli>(found->second));
+    return averageOf(usualMs_, route);
 }
 
 void TrafficPlane::notePace(const core::EndpointId &endpoint, const core::ModelName &model,
@@ -214,11 +220,7 @@
 
 core::Duration TrafficPlane::usualPace(const core::ModelName &model) const
 {
-    const auto found = paceMs_.find(model);
-    if (found == paceMs_.end())
-        return core::Duration::zero();
-    return std::chrono::duration_cast<core::Duration>(
-            std::chrono::duration<double, std::milli>(found->second));
+    return averageOf(paceMs_, model);
 }
 
 double TrafficPlane::usualWork(const std::string &route, double workMs)
@@ -250,6 +252,19 @@
     return report;
 }
 
+core::EntryNews TrafficPlane::takeNews()
+{
+    return {pins.takeNews(), prompts.takeNews(), monitor.takeRefusals()};
+}
+
+void TrafficPlane::heardNews(const core::EntryNews &news)
+{
+    const core::Instant now = clock.now();
+    pins.heard(news.sessions, now);
+    prompts.heard(news.prompts, now);
+    monitor.heardRefusals(news.refusing, now);
+}
+
 void TrafficPlane::tend()
 {
     pool.expire();
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -107,6 +107,10 @@
     // The counts since the last call.
     [[nodiscard]] core::OutcomeReport takeOutcomes(core::Instant now);
 
+    // What this entry saw since the last call and the others may not know, and what they saw.
+    [[nodiscard]] core::EntryNews takeNews();
+    void heardNews(const core::EntryNews &news);
+
     void tend(); // once a second: expires connections and sessions
 
     [[nodiscard]] std::string metrics() const;
--- a/core/clock.h
+++ b/core/clock.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstdint>
 
 namespace fireflyroute::core {
 
@@ -20,6 +21,12 @@
 // A point in calendar time, for people to read; no decision about safety rests on it.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+// Whole milliseconds, for messages and logs.
+[[nodiscard]] inline std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Source of time that is passed in to everything outside the core that needs it.
 template<typename T>
 concept Clock = requires(const T &clock)
--- a/core/endpoint_monitor.cpp
+++ b/core/endpoint_monitor.cpp
@@ -115,15 +115,15 @@
     seen.restsUntil = now + std::min(policy_.firstRest * (1U << doublings), policy_.longestRest);
 }
 
-RefusalNews EndpointMonitor::takeRefusals()
+std::vector<EndpointId> EndpointMonitor::takeRefusals()
 {
     return std::exchange(refusals_, {});
 }
 
 // Many entries may tell of one crash, so the rest does not grow with each.
-void EndpointMonitor::heardRefusals(const RefusalNews &news, Instant now)
+void EndpointMonitor::heardRefusals(const std::vector<EndpointId> &endpoints, Instant now)
 {
-    for (const EndpointId &id : news.endpoints) {
+    for (const EndpointId &id : endpoints) {
         Seen &seen = seen_[id];
         const Instant until = now + policy_.firstRest;
         if (!seen.restsUntil || *seen.restsUntil < until)
--- a/core/endpoint_monitor.h
+++ b/core/endpoint_monitor.h
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace fireflyroute::core {
 
@@ -71,11 +72,11 @@
     void failed(const EndpointId &id, bool severe, Instant now);
 
     // It refused a connection, as nothing runs there: the other entries are told.
-    void refused(const EndpointId &id) { refusals_.endpoints.push_back(id); }
-    [[nodiscard]] RefusalNews takeRefusals();
+    void refused(const EndpointId &id) { refusals_.push_back(id); }
+    [[nodiscard]] std::vector<EndpointId> takeRefusals();
 
     // Other entries were refused.
-    void heardRefusals(const RefusalNews &news, Instant now);
+    void heardRefusals(const std::vector<EndpointId> &endpoints, Instant now);
 
     // Another endpoint answered at its address: it has ended, or lives on under another id.
     void wasReplaced(const EndpointId &id, Instant now);
@@ -119,7 +120,7 @@
     std::unordered_map<EndpointId, Seen> seen_;
     std::unordered_map<EndpointId, EndpointWork> others_; // as last told
     std::optional<Instant> othersAt_; // when it was told
-    RefusalNews refusals_; // not told yet
+    std::vector<EndpointId> refusals_; // not told yet
 };
 
 } // namespace fireflyroute::core
--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -33,19 +33,11 @@
 
 } // namespace
 
-bool EndpointPicker::isSameRegion(const DataCentreId &other) const
-{
-    const auto own = regions_.find(own_);
-    const auto there = regions_.find(other);
-    const bool areKnown = own != regions_.end() && there != regions_.end();
-    return other == own_ || (areKnown && own->second == there->second);
-}
-
 double EndpointPicker::distance(const DataCentreId &other, double bytes) const
 {
     if (other == own_)
         return 0;
-    if (isSameRegion(other))
+    if (isSameRegion(regions_, own_, other))
         return weights_.otherDataCentre;
     return weights_.otherRegion + weights_.perRegionByte * bytes;
 }
@@ -83,7 +75,8 @@
     std::pair<bool, std::uint64_t> highest;
     for (const EndpointRecord *candidate : candidates) {
         const std::uint64_t score = mix(match->prefixes.back() ^ textHash(candidate->id.value()));
-        const std::pair<bool, std::uint64_t> rank(isSameRegion(candidate->dataCentre), score);
+        const std::pair<bool, std::uint64_t> rank(
+                isSameRegion(regions_, own_, candidate->dataCentre), score);
         if (!first || rank > highest) {
             first = candidate;
             highest = rank;
--- a/core/endpoint_pick.h
+++ b/core/endpoint_pick.h
@@ -13,6 +13,7 @@
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_registry.h"
 #include "core/prompt_index.h"
+#include "core/regions.h"
 #include "core/site_calls.h"
 
 #include <map>
@@ -63,8 +64,7 @@
 class EndpointPicker
 {
 public:
-    EndpointPicker(DataCentreId own, std::map<DataCentreId, std::string> regions,
-                   const PickWeights &weights = {})
+    EndpointPicker(DataCentreId own, Regions regions, const PickWeights &weights = {})
         : own_(std::move(own))
         , regions_(std::move(regions))
         , weights_(weights)
@@ -78,13 +78,12 @@
     [[nodiscard]] const EndpointRecord *
     firstChoice(const PromptMatch *match,
                 const std::vector<const EndpointRecord *> &candidates) const;
-    [[nodiscard]] bool isSameRegion(const DataCentreId &other) const;
     [[nodiscard]] double distance(const DataCentreId &other, double bytes) const;
     [[nodiscard]] double cost(const EndpointRecord &endpoint, const PickAsk &ask,
                               const EndpointMonitor &monitor, Instant now) const;
 
     DataCentreId own_;
-    std::map<DataCentreId, std::string> regions_; // by data centre
+    Regions regions_;
     PickWeights weights_;
 };
 
--- a/core/prompt_index.cpp
+++ b/core/prompt_index.cpp
@@ -64,16 +64,16 @@
 {
     PromptMatch match = sharedParts(model, prompt);
     if (!match.prefixes.empty() && cache_.observe(endpoint, match.prefixes, now))
-        news_.sightings.push_back({endpoint, std::move(match.prefixes)});
+        news_.push_back({endpoint, std::move(match.prefixes)});
 }
 
-void PromptIndex::heard(const PromptNews &news, Instant now)
+void PromptIndex::heard(const std::vector<PromptSighting> &news, Instant now)
 {
-    for (const PromptSighting &sighting : news.sightings)
+    for (const PromptSighting &sighting : news)
         cache_.observe(sighting.endpoint, sighting.prefixes, now);
 }
 
-PromptNews PromptIndex::takeNews()
+std::vector<PromptSighting> PromptIndex::takeNews()
 {
     return std::exchange(news_, {});
 }
--- a/core/prompt_index.h
+++ b/core/prompt_index.h
@@ -55,14 +55,14 @@
     void sent(const EndpointId &endpoint, const ModelName &model,
               const std::vector<PromptPart> &prompt, Instant now);
 
-    void heard(const PromptNews &news, Instant now);
+    void heard(const std::vector<PromptSighting> &news, Instant now);
 
     // What was seen here since the last call and the other entries may not know.
-    [[nodiscard]] PromptNews takeNews();
+    [[nodiscard]] std::vector<PromptSighting> takeNews();
 
 private:
     PrefixCache cache_;
-    PromptNews news_;
+    std::vector<PromptSighting> news_;
 };
 
 } // namespace fireflyroute::core
--- /dev/null
+++ b/core/regions.h
@@ -0,0 +1,28 @@
+// Regions of data centres, as settings name them.
+
+#ifndef FIREFLYROUTE_CORE_REGIONS_H
+#define FIREFLYROUTE_CORE_REGIONS_H
+
+#include "core/types.h"
+
+#include <map>
+#include <string>
+
+namespace fireflyroute::core {
+
+using Regions = std::map<DataCentreId, std::string>; // by data centre
+
+// Whether traffic between two data centres stays in one region. One that is not listed is in no
+// other's region.
+[[nodiscard]] inline bool isSameRegion(const Regions &regions, const DataCentreId &a,
+                                       const DataCentreId &b)
+{
+    const auto ofA = regions.find(a);
+    const auto ofB = regions.find(b);
+    const bool areListed = ofA != regions.end() && ofB != regions.end();
+    return a == b || (areListed && ofA->second == ofB->second);
+}
+
+} // namespace fireflyroute::core
+
+#endif
--- a/core/session_pins.cpp
+++ b/core/session_pins.cpp
@@ -35,12 +35,12 @@
         return;
     note(run, now);
     if (VersionGate::isDrawn(run.session.value(), canaryShare_))
-        news_.runs.push_back(std::move(run));
+        news_.push_back(std::move(run));
 }
 
-void SessionPins::heard(const SessionNews &news, Instant now)
+void SessionPins::heard(const std::vector<SessionRun> &news, Instant now)
 {
-    for (const SessionRun &run : news.runs)
+    for (const SessionRun &run : news)
         note(run, now);
 }
 
@@ -57,7 +57,7 @@
     return isHeld ? std::optional(found->second.version) : std::nullopt;
 }
 
-SessionNews SessionPins::takeNews()
+std::vector<SessionRun> SessionPins::takeNews()
 {
     return std::exchange(news_, {});
 }
--- a/core/session_pins.h
+++ b/core/session_pins.h
@@ -20,6 +20,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace fireflyroute::core {
 
@@ -36,13 +37,13 @@
     void ended(const SessionId &session, const VersionName &version, Instant now);
 
     // What other entries saw.
-    void heard(const SessionNews &news, Instant now);
+    void heard(const std::vector<SessionRun> &news, Instant now);
 
     // The version that runs the session, or ran its last request if that is recent.
     [[nodiscard]] std::optional<VersionName> versionOf(const SessionId &session, Instant now) const;
 
     // What was seen here since the last call and matters to other entries.
-    [[nodiscard]] SessionNews takeNews();
+    [[nodiscard]] std::vector<SessionRun> takeNews();
 
     void expire(Instant now);
 
@@ -59,7 +60,7 @@
     Duration ttl_;
     double canaryShare_;
     std::unordered_map<SessionId, Pin> pins_;
-    SessionNews news_;
+    std::vector<SessionRun> news_;
 };
 
 } // namespace fireflyroute::core
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -97,14 +97,6 @@
     bool operator==(const SessionRun &) const = default;
 };
 
-// From an entry to the leader, which passes it on to all other entries.
-struct SessionNews
-{
-    std::vector<SessionRun> runs;
-
-    bool operator==(const SessionNews &) const = default;
-};
-
 // Prefixes of prompts that an endpoint was given to read, as hashes of a model and of the parts.
 struct PromptSighting
 {
@@ -114,26 +106,25 @@
     bool operator==(const PromptSighting &) const = default;
 };
 
-// From an entry to the leader, which passes it on to all other entries.
-struct PromptNews
+// What an entry saw and the others may not know. From it to the leader, which passes it on to all
+// other entries.
+struct EntryNews
 {
-    std::vector<PromptSighting> sightings;
+    std::vector<SessionRun> sessions;
+    std::vector<PromptSighting> prompts;
+    std::vector<EndpointId> refusing; // refuse connections: nothing runs there now
 
-    bool operator==(const PromptNews &) const = default;
-};
-
-// Endpoints that refuse connections: nothing runs there now. From an entry to the leader, which
-// passes it on to all other entries.
-struct RefusalNews
-{
-    std::vector<EndpointId> endpoints;
+    bool operator==(const EntryNews &) const = default;
 
-    bool operator==(const RefusalNews &) const = default;
+    [[nodiscard]] bool isEmpty() const
+    {
+        return sessions.empty() && prompts.empty() && refusing.empty();
+    }
 };
 
-using SiteMessage = std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate,
-                                 EndpointUpdate, OutcomeReport, WorkReport, ReplicaMessage,
-                                 SessionNews, PromptNews, RefusalNews>;
+using SiteMessage =
+        std::variant<Greeting, CurrencyProbe, CurrencyReply, StateUpdate, EndpointUpdate,
+                     OutcomeReport, WorkReport, ReplicaMessage, EntryNews>;
 
 } // namespace fireflyroute::core
 
--- a/core/testing/endpoint_pick_test.cpp
+++ b/core/testing/endpoint_pick_test.cpp
@@ -94,7 +94,7 @@
     // Of another prompt only the first part is shared.
     prompt[1].id = 77;
     BOOST_TEST(index.match(ModelName("m"), prompt, kStart).heldBy(other) == 500);
-    BOOST_TEST(elsewhere.takeNews().sightings.empty());
+    BOOST_TEST(elsewhere.takeNews().empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(a_long_shared_prompt_crosses_regions_and_a_short_one_does_not, Fixture)
@@ -171,8 +171,8 @@
     EndpointMonitor monitor;
     const EndpointId id("a");
     teller.refused(id);
-    const RefusalNews news = teller.takeRefusals();
-    BOOST_TEST(teller.takeRefusals().endpoints.empty());
+    const std::vector<EndpointId> news = teller.takeRefusals();
+    BOOST_TEST(teller.takeRefusals().empty());
     for (int entry = 0; entry < 10; ++entry)
         monitor.heardRefusals(news, kStart);
     BOOST_TEST(!monitor.isUsable(id, kStart + 300ms));
--- a/core/testing/session_pins_test.cpp
+++ b/core/testing/session_pins_test.cpp
@@ -74,10 +74,10 @@
     SessionPins pins(kTtl, kShare);
     pins.began(sessionWith(false), kOld, kStart);
     pins.began(SessionId(), kOld, kStart);
-    BOOST_TEST(pins.takeNews().runs.empty());
+    BOOST_TEST(pins.takeNews().empty());
     pins.ended(sessionWith(true), kOld, kStart);
-    BOOST_TEST(pins.takeNews().runs.size() == 1U);
-    BOOST_TEST(pins.takeNews().runs.empty());
+    BOOST_TEST(pins.takeNews().size() == 1U);
+    BOOST_TEST(pins.takeNews().empty());
 }
 
 BOOST_AUTO_TEST_CASE(expired_pins_are_dropped)
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -107,9 +107,7 @@
             self->fail(ExchangeError::ConnectFailed);
             return;
         }
-        error_code ignored;
-        self->socket_.set_option(tcp::no_delay(true), ignored);
-        self->socket_.non_blocking(true, ignored);
+        prepare(self->socket_);
         self->connected_ = true;
         self->write();
     });
@@ -133,15 +131,12 @@
 
 void EndpointConnection::awaitReadable()
 {
-    if (waiting_ || !open_)
+    if (!open_)
         return;
-    waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this()](const error_code &error) {
-                           self->waiting_ = false;
-                           if (!error && self->open_)
-                               self->onReadable();
-                       });
+    wait_.start(socket_, [self = shared_from_this()] {
+        if (self->open_)
+            self->onReadable();
+    });
 }
 
 void EndpointConnection::onReadable()
--- a/net/endpoint_connection.h
+++ b/net/endpoint_connection.h
@@ -12,6 +12,7 @@
 
 #include "core/enum_names.h"
 #include "net/http_message.h"
+#include "net/socket_steps.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -110,6 +111,7 @@
     std::string request_; // being written
     // Set while busy_. Shared, so that a handler may end the exchange that it is called for.
     std::shared_ptr<const ExchangeHandlers> handlers_;
+    ReadableWait wait_;
     std::unique_ptr<Parser> parser_; // of the present answer
     std::chrono::steady_clock::time_point idleSince_{};
     std::chrono::seconds keepAlive_; // idle time that the endpoint allows
@@ -122,7 +124,6 @@
     bool headSeen_ = false; // of the own answer
     bool skipping_ = false; // the present answer is another request's
     bool reusable_ = true;
-    bool waiting_ = false;
 };
 
 } // namespace fireflyroute::net
--- a/net/frame_link.cpp
+++ b/net/frame_link.cpp
@@ -2,6 +2,7 @@
 
 #include "net/frame_link.h"
 
+#include "net/socket_steps.h"
 #include "net/tcp_acceptor.h"
 
 #include <boost/asio/buffer.hpp>
@@ -97,9 +98,8 @@
 {
     connecting_ = false;
     timer_.cancel();
+    prepare(socket_);
     error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
-    socket_.non_blocking(true, ignored);
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     socket_.set_option(UserTimeout(kSilenceTimeoutMs), ignored);
     open_ = true;
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -73,9 +73,7 @@
 
 void ServerSession::start()
 {
-    error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
-    socket_.non_blocking(true, ignored);
+    prepare(socket_);
     armTimer(group_->limits.idleTimeout);
     awaitReadable();
 }
@@ -84,15 +82,12 @@
 // answer is under way.
 void ServerSession::awaitReadable()
 {
-    if (waiting_ || !open_ || (busy_ && !input_.empty()))
+    if (!open_ || (busy_ && !input_.empty()))
         return;
-    waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this()](const error_code &error) {
-                           self->waiting_ = false;
-                           if (!error && self->open_)
-                               self->onReadable();
-                       });
+    wait_.start(socket_, [self = shared_from_this()] {
+        if (self->open_)
+            self->onReadable();
+    });
 }
 
 void ServerSession::onReadable()
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -14,6 +14,7 @@
 
 #include "net/errors.h"
 #include "net/http_message.h"
+#include "net/socket_steps.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -103,6 +104,7 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<SessionGroup> group_;
+    ReadableWait wait_;
     std::unique_ptr<Parser> parser_;
     std::string input_; // bytes that are not parsed yet
     std::deque<std::string> output_; // the first one is being written
@@ -113,7 +115,6 @@
     bool bodyless_ = false; // the request was a HEAD
     bool keepAlive_ = true; // the caller wants the connection to go on
     bool closeAfterWrite_ = false;
-    bool waiting_ = false; // for the socket to become readable
     bool writing_ = false;
     bool open_ = true;
 };
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -226,12 +226,6 @@
     archive(run.session, run.version, run.ended);
 }
 
-template<class Archive>
-void serialize(Archive &archive, SessionNews &message)
-{
-    archive(message.runs);
-}
-
 template<class Archive>
 void serialize(Archive &archive, PromptSighting &sighting)
 {
@@ -239,15 +233,9 @@
 }
 
 template<class Archive>
-void serialize(Archive &archive, PromptNews &message)
-{
-    archive(message.sightings);
-}
-
-template<class Archive>
-void serialize(Archive &archive, RefusalNews &message)
+void serialize(Archive &archive, EntryNews &message)
 {
-    archive(message.endpoints);
+    archive(message.sessions, message.prompts, message.refusing);
 }
 
 } // namespace cereal
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -69,6 +69,19 @@
     BOOST_TEST((std::get<core::WorkReport>(report.value()) == work));
 }
 
+BOOST_AUTO_TEST_CASE(news_read_back)
+{
+    core::EntryNews news;
+    BOOST_TEST(news.isEmpty());
+    news.sessions = {{core::SessionId("s"), core::VersionName("v2"), true}};
+    news.prompts = {{core::EndpointId("i-1"), {7, 8}}};
+    news.refusing = {core::EndpointId("i-2")};
+    BOOST_TEST(!news.isEmpty());
+    const auto read = net::decodeMessage(net::encodeMessage(news));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((std::get<core::EntryNews>(read.value()) == news));
+}
+
 BOOST_AUTO_TEST_CASE(frames_that_end_early_are_refused)
 {
     const std::string bytes = net::encodeMessage(core::StateUpdate{siteData()});
