Count the state updates that an entry receives, and log those that it ignores

Change: two counters, a log line for an update that was not needed, and one for a link that is closed because nothing arrived. No change of logic.

--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -104,6 +104,10 @@
     const std::string bytes = net::encodeMessage(freshnessProbe());
     for (auto &[vm, peer] : controlPeers_) {
         if (peer.link->isOpen() && now - peer.lastReceivedAt > kLinkTimeout) {
+            LogLine(log_, LogKind::Link)
+                    .add("event", "timed_out")
+                    .add("peer", vm.value())
+                    .add("silent_ms", core::toMillis(now - peer.lastReceivedAt));
             peer.lastReceivedAt = now;
             peer.link->reset();
         } else {
@@ -131,6 +135,10 @@
         return;
     }
     peer->second.lastReceivedAt = clock_.now();
+    if (std::holds_alternative<core::StateUpdate>(message.value())) {
+        ++stateUpdates_;
+        stateBytes_ += frame.size();
+    }
     std::visit([&](const auto &typed) { handleMessage(vm, typed); }, message.value());
 }
 
@@ -151,8 +159,15 @@
 {
     const bool lacksDocument =
             message.documentOmitted && message.data.document.version != state_.document.version;
-    if (message.data.revision <= state_.revision || lacksDocument)
+    if (message.data.revision <= state_.revision || lacksDocument) {
+        LogLine(log_, LogKind::Config)
+                .add("event", "ignored")
+                .add("version", static_cast<std::int64_t>(message.data.document.version))
+                .add("revision", static_cast<std::int64_t>(message.data.revision))
+                .add("held_revision", static_cast<std::int64_t>(state_.revision))
+                .add("from", vm.value());
         return;
+    }
     const bool isNewConfig = message.data.document.version != state_.document.version;
     if (isNewConfig) {
         auto config = decode_(message.data.document.bytes);
@@ -255,9 +270,11 @@
         open += peer.link->isOpen() ? 1 : 0;
     return fmt::format("fireflyroute_site_revision {}\nfireflyroute_site_config_version {}\n"
                        "fireflyroute_entry_ready {}\nfireflyroute_entry_control_links {}\n"
+                       "fireflyroute_entry_state_updates_total {}\n"
+                       "fireflyroute_entry_state_bytes_total {}\n"
                        "fireflyroute_log_lines_dropped_total {}\n",
                        state_.revision, state_.document.version, isReady() ? 1 : 0, open,
-                       log_.droppedTotal());
+                       stateUpdates_, stateBytes_, log_.droppedTotal());
 }
 
 } // namespace fireflyroute::app
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -108,6 +108,8 @@
     core::ConfigFreshness freshness_;
     std::uint64_t nonce_ = 0;
     bool wasFresh_ = false; // freshness last logged
+    std::uint64_t stateUpdates_ = 0; // received
+    std::uint64_t stateBytes_ = 0; // size of the received state updates
 };
 
 } // namespace fireflyroute::app
