--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -4,6 +4,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import sys
 import threading
 import time
@@ -184,6 +186,42 @@
             self.assertEqual(json.loads(site.operator_call("GET", "/fireflyroute/Config.Read")[1])
                              ["version"], 4)
 
+    # Guards against inc1: every control VM in an entry's region sent it a copy of each configuration,
+    # and large ones saturated its network link.
+    def test_entry_receives_each_configuration_once(self):
+        with Site(18) as site:
+            site.configure(1)
+            site.worker("i-1", "ledger")
+            site.wait_until_served("/calls/1")
+            wait_until(lambda: site.voters() == 3, "all control VMs vote")
+            before = site.entry_metric("entry_state_updates_total")
+            versions = range(2, 6)
+            for version in versions:
+                site.configure(version)
+                wait_until(lambda version=version: site.entry_metric("site_config_version") == version,
+                           "the entry applies version %d" % version)
+            time.sleep(1)  # longer than the delays after which control VMs check on the entry
+            self.assertEqual(site.entry_metric("entry_state_updates_total") - before, len(versions))
+
+    # Guards against inc1: an entry closed its links to control VMs while a large configuration was
+    # being transferred over them, so the transfer started again.
+    def test_link_stays_open_while_a_large_message_arrives(self):
+        with Site(19, controls=0, entries=0) as site:
+            with socket.create_server(("127.19.1.1", 7340)) as control_vm:
+                site.control = ["127.19.1.1"]
+                site.start("127.19.2.1")
+                control_vm.settimeout(10)
+                link, _ = control_vm.accept()
+                with link:
+                    link.sendall(struct.pack("<I", 1 << 20))
+                    for _ in range(30):
+                        link.sendall(bytes(20000))
+                        time.sleep(0.1)
+                    link.settimeout(0)
+                    with self.assertRaises(BlockingIOError):
+                        while link.recv(1 << 16):
+                            pass
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -9,6 +9,7 @@
 import http.server
 import json
 import os
+import re
 import shutil
 import signal
 import socket
@@ -271,6 +272,10 @@
     def is_ready(self, entry=0):
         return call("GET", self.entries[entry] + ":8220", "/fireflyroute/ready")[0] == 200
 
+    def entry_metric(self, name, entry=0):
+        text = call("GET", self.entries[entry] + ":9464", "/metrics")[2]
+        return int(re.search(r"^fireflyroute_%s (\d+)$" % name, text, re.MULTILINE).group(1))
+
     def wait_until_served(self, *paths):
         """Waits until the entry is ready and requests on the paths succeed."""
         wait_until(self.is_ready, "the entry is ready")
