Keep a link to a control VM open while a large message arrives

An entry counted only complete messages when it decided whether a link still works, so it closed a link on which a configuration of 1.2 MB took longer than 1.6 s, dropped what it had of it, and the transfer began anew. Change: the link counts the bytes that it has received, and the entry counts any of them as a sign of life. No other part closes a link by such a time: control VMs leave it to the kernel's time-out for bytes that are not acknowledged.

--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -103,6 +103,10 @@
     freshness_.probeSent(++nonce_, now);
     const std::string bytes = net::encodeMessage(freshnessProbe());
     for (auto &[vm, peer] : controlPeers_) {
+        // A large message may take longer than the timeout to arrive.
+        const std::uint64_t receivedTotal = peer.link->receivedTotal();
+        if (std::exchange(peer.receivedTotal, receivedTotal) != receivedTotal)
+            peer.lastReceivedAt = now;
         if (peer.link->isOpen() && now - peer.lastReceivedAt > kLinkTimeout) {
             LogLine(log_, LogKind::Link)
                     .add("event", "timed_out")
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -68,7 +68,8 @@
     struct ControlPeer
     {
         std::shared_ptr<net::FrameLink> link;
-        core::Instant lastReceivedAt;
+        core::Instant lastReceivedAt; // last data, also of an incomplete message
+        std::uint64_t receivedTotal = 0; // of the link, at the last probe
     };
 
     void connectControlVms();
--- a/net/frame_link.cpp
+++ b/net/frame_link.cpp
@@ -131,6 +131,7 @@
         disconnect();
         return;
     }
+    receivedTotal_ += count;
     receivedBytes_.append(buffer.data(), count);
     handleFrames();
     awaitReadable();
--- a/net/frame_link.h
+++ b/net/frame_link.h
@@ -59,6 +59,9 @@
 
     [[nodiscard]] bool isOpen() const { return open_; }
 
+    // Number of bytes received over all connections, incomplete frames included.
+    [[nodiscard]] std::uint64_t receivedTotal() const { return receivedTotal_; }
+
 private:
     void connect();
     void scheduleReconnect();
@@ -77,6 +80,7 @@
     std::string receivedBytes_; // an incomplete frame at most, after handleFrames()
     std::string queuedBytes_; // frames queued while bytesInWrite_ is written
     std::string bytesInWrite_;
+    std::uint64_t receivedTotal_ = 0;
     // Number of the connection; completions of operations on earlier connections are ignored.
     std::uint64_t generation_ = 0;
     bool isDialer_ = false;
