Let entries fetch the state instead of sending them copies of it

Cause: every control VM in the region of an entry sent it each configuration, the leader as well after 0.5 s, and each of them again 0.6 s later if the entry had not reported the version by then. With 4,200 routes a document has 1.2 MB, and the network link of an entry carries 1.25 MB a second, so copies queued behind copies and delayed everything else on the link. The fault is a retransmission by time over a connection that delivers by itself, with several senders that don't know of each other. Change: control VMs announce a state; an entry requests it from one of them at a time, first in its own region, and from another one only if the transfer makes no progress (core/state_fetch). Changes during a transfer are fetched together after it.

--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -52,8 +52,7 @@
             std::_Exit(kExitStorage);
         }
         self->state_ = core::SiteState(data.value());
-        self->stateChangedAt_ = self->clock_.now();
-        self->publishState();
+        self->announceState();
     };
     hooks.save = [self] { return net::encodeSiteData(self->state_.data()); };
     hooks.send = [self](const core::ReplicaMessage &message) { self->send(message); };
@@ -336,6 +335,8 @@
     if (!peer.isEntry)
         return;
     peer.feed = core::StateFeed(isInSameRegion(message.dataCentre));
+    if (const auto announcement = peer.feed.onChange(state_.data(), clock_.now()))
+        peer.link->send(net::encodeMessage(*announcement));
     core::EndpointUpdate update{registry_.all()};
     // Without a leader lease this VM may be partitioned and miss heartbeats itself, so endpoints
     // are not reported as unresponsive.
@@ -354,14 +355,15 @@
     reply.authoritative = driver_->hasLease();
     for (const core::Member &member : driver_->replica().membership().members)
         reply.controlVms.push_back(member.id.vm);
-    peer.feed.recordHeldState(message.revision, message.documentVersion);
-    const auto update =
-            peer.feed.onProbe(state_.data(), reply.authoritative, stateChangedAt_, clock_.now());
-    if (update)
-        peer.link->send(net::encodeMessage(*update));
     peer.link->send(net::encodeMessage(reply));
 }
 
+void SiteControl::handleMessage(Peer &peer, const core::StateRequest &message)
+{
+    if (const auto update = core::StateFeed::answer(message, state_.data()))
+        peer.link->send(net::encodeMessage(*update));
+}
+
 void SiteControl::handleMessage(Peer & /*peer*/, const core::EndpointUpdate &message)
 {
     for (const core::EndpointRecord &record : message.records)
@@ -472,33 +474,34 @@
     }
     ++appliedCommands_;
     state_.apply(command.value());
-    stateChangedAt_ = clock_.now();
-    publishState();
+    announceState();
 }
 
-// Schedules a state update for the entries that receive the state from this VM. Changes within one
-// StateFeed::kMinSendInterval are combined into one message.
-void SiteControl::publishState()
+// Announces the state to the entries. Changes within one StateFeed::kMinAnnounceInterval are
+// combined into one announcement.
+void SiteControl::announceState()
 {
-    if (isPublishScheduled_)
+    if (isAnnouncementScheduled_)
         return;
-    isPublishScheduled_ = true;
+    isAnnouncementScheduled_ = true;
     asio::post(io_, [this] {
-        isPublishScheduled_ = false;
-        bool hasPendingUpdates = false;
+        isAnnouncementScheduled_ = false;
+        bool hasPendingAnnouncements = false;
         for (auto &[link, peer] : incomingLinks_) {
-            if (const auto update = peer.feed.onChange(state_.data(), clock_.now()))
-                peer.link->send(net::encodeMessage(*update));
-            hasPendingUpdates = hasPendingUpdates || peer.feed.isDue(state_.data());
+            if (!peer.isEntry)
+                continue;
+            if (const auto announcement = peer.feed.onChange(state_.data(), clock_.now()))
+                peer.link->send(net::encodeMessage(*announcement));
+            hasPendingAnnouncements = hasPendingAnnouncements || peer.feed.isDue(state_.data());
         }
-        if (!hasPendingUpdates)
+        if (!hasPendingAnnouncements)
             return;
-        isPublishScheduled_ = true;
+        isAnnouncementScheduled_ = true;
         const auto timer =
-                std::make_shared<asio::steady_timer>(io_, core::StateFeed::kMinSendInterval);
+                std::make_shared<asio::steady_timer>(io_, core::StateFeed::kMinAnnounceInterval);
         timer->async_wait([this, timer](const boost::system::error_code &) {
-            isPublishScheduled_ = false;
-            publishState();
+            isAnnouncementScheduled_ = false;
+            announceState();
         });
     });
 }
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -84,7 +84,10 @@
     void handleMessage(Peer &peer, const core::WorkReport &message);
     void handleMessage(Peer &peer, const core::EntryUpdate &message);
     void handleMessage(Peer &peer, const core::ReplicaMessage &message);
+    void handleMessage(Peer &peer, const core::StateRequest &message);
+    // Messages that only entries receive.
     void handleMessage(Peer & /*peer*/, const core::FreshnessReply & /*message*/) {}
+    void handleMessage(Peer & /*peer*/, const core::StateAnnouncement & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
 
     // State and links.
@@ -92,7 +95,7 @@
     void onRoleChanged(const core::RoleChanged &changed);
     void connectControlVms();
     void send(const core::ReplicaMessage &message);
-    void publishState();
+    void announceState();
     [[nodiscard]] bool isInSameRegion(const core::DataCentreId &dataCentre) const;
     void publishRecord(const core::EndpointRecord &record, core::RegistryChange change,
                        bool fromEndpoint);
@@ -107,7 +110,6 @@
     StructuredLog &log_;
     BootClock clock_;
     core::SiteState state_; // result of all applied commands
-    core::Instant stateChangedAt_; // time of the last change of state_
     core::ControlDirectory directory_;
     core::EndpointRegistry registry_;
     core::RolloutJudge rolloutEvaluator_;
@@ -118,7 +120,7 @@
     std::vector<std::shared_ptr<boost::asio::steady_timer>> timers_;
     std::uint64_t appliedCommands_ = 0;
     std::uint64_t heartbeats_ = 0;
-    bool isPublishScheduled_ = false; // a call of publishState() is pending
+    bool isAnnouncementScheduled_ = false; // a call of announceState() is pending
 };
 
 } // namespace fireflyroute::app
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -62,6 +62,7 @@
             continue;
         }
         it->second.link->stop();
+        fetcher_.recordDisconnected(it->first);
         it = controlPeers_.erase(it);
     }
     for (const core::VmId &vm : required) {
@@ -78,13 +79,15 @@
             LogLine(log_, LogKind::Link).add("event", "regained").add("peer", vm.value());
             link.send(
                     net::encodeMessage(core::Handshake{settings_.vm, true, settings_.dataCentre}));
-            link.send(net::encodeMessage(freshnessProbe()));
+            link.send(net::encodeMessage(core::FreshnessProbe{nonce_}));
         };
         handlers.onFrame = [this, vm](net::FrameLink &, std::string_view frame) {
             onFrame(vm, frame);
         };
         handlers.onDisconnected = [this, vm](net::FrameLink &) {
             LogLine(log_, LogKind::Link).add("event", "lost").add("peer", vm.value());
+            fetcher_.recordDisconnected(vm);
+            requestState();
         };
         const auto link = std::make_shared<net::FrameLink>(io_, handlers);
         controlPeers_[vm] = ControlPeer{link, clock_.now()};
@@ -92,21 +95,18 @@
     }
 }
 
-core::FreshnessProbe SiteEntry::freshnessProbe() const
-{
-    return {nonce_, state_.revision, state_.document.version};
-}
-
 void SiteEntry::sendProbes()
 {
     const core::Instant now = clock_.now();
     freshness_.probeSent(++nonce_, now);
-    const std::string bytes = net::encodeMessage(freshnessProbe());
+    const std::string bytes = net::encodeMessage(core::FreshnessProbe{nonce_});
     for (auto &[vm, peer] : controlPeers_) {
         // A large message may take longer than the timeout to arrive.
         const std::uint64_t receivedTotal = peer.link->receivedTotal();
-        if (std::exchange(peer.receivedTotal, receivedTotal) != receivedTotal)
+        if (std::exchange(peer.receivedTotal, receivedTotal) != receivedTotal) {
             peer.lastReceivedAt = now;
+            fetcher_.recordProgress(vm, now);
+        }
         if (peer.link->isOpen() && now - peer.lastReceivedAt > kLinkTimeout) {
             LogLine(log_, LogKind::Link)
                     .add("event", "timed_out")
@@ -119,6 +119,7 @@
         }
     }
     publishFreshness();
+    requestState();
     (void)registry_.expire(now, kRecordRetention, kRecordRetention);
     probeTimer_.expires_after(kProbePeriod);
     probeTimer_.async_wait([this](const boost::system::error_code &error) {
@@ -159,7 +160,32 @@
     connectControlVms();
 }
 
+void SiteEntry::handleMessage(const core::VmId &vm, const core::StateAnnouncement &message)
+{
+    fetcher_.recordAnnouncement(vm, message, clock_.now());
+    requestState();
+}
+
 void SiteEntry::handleMessage(const core::VmId &vm, const core::StateUpdate &message)
+{
+    fetcher_.recordAnswer(vm, message.data.revision);
+    applyState(vm, message);
+    requestState();
+}
+
+// Requests the state from a control VM if a newer one was announced than this entry holds.
+void SiteEntry::requestState()
+{
+    const std::optional<core::VmId> vm = fetcher_.startRequest(state_.revision, clock_.now());
+    if (!vm)
+        return;
+    const auto peer = controlPeers_.find(*vm);
+    if (peer != controlPeers_.end())
+        peer->second.link->send(
+                net::encodeMessage(core::StateRequest{state_.revision, state_.document.version}));
+}
+
+void SiteEntry::applyState(const core::VmId &vm, const core::StateUpdate &message)
 {
     const bool lacksDocument =
             message.documentOmitted && message.data.document.version != state_.document.version;
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -18,6 +18,7 @@
 #include "core/control_directory.h"
 #include "core/site_messages.h"
 #include "core/site_view.h"
+#include "core/state_fetch.h"
 #include "net/frame_link.h"
 
 #include <boost/asio/io_context.hpp>
@@ -75,6 +76,7 @@
     void connectControlVms();
     void onFrame(const core::VmId &vm, std::string_view frame);
     void handleMessage(const core::VmId &vm, const core::FreshnessReply &message);
+    void handleMessage(const core::VmId &vm, const core::StateAnnouncement &message);
     void handleMessage(const core::VmId &vm, const core::StateUpdate &message);
     void handleMessage(const core::VmId &vm, const core::EndpointUpdate &message);
     void handleMessage(const core::VmId & /*vm*/, const core::WorkReport &message)
@@ -88,8 +90,9 @@
     template<typename Other>
     void handleMessage(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
+    void applyState(const core::VmId &vm, const core::StateUpdate &message);
+    void requestState();
     void sendProbes();
-    [[nodiscard]] core::FreshnessProbe freshnessProbe() const;
     void publishFreshness();
     void publishView();
 
@@ -107,6 +110,7 @@
     std::shared_ptr<const core::SiteTable> table_; // of state_.document; null before the first
     core::EndpointRegistry registry_;
     core::ConfigFreshness freshness_;
+    core::StateFetcher fetcher_;
     std::uint64_t nonce_ = 0;
     bool wasFresh_ = false; // freshness last logged
     std::uint64_t stateUpdates_ = 0; // received
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -25,8 +25,6 @@
 struct FreshnessProbe
 {
     std::uint64_t nonce = 0; // returned in the reply
-    std::uint64_t revision = 0; // of the state that the entry holds
-    std::uint64_t documentVersion = 0; // of the configuration in that state
 };
 
 struct FreshnessReply
@@ -37,7 +35,22 @@
     std::vector<VmId> controlVms; // members of the group, to connect to
 };
 
-// The state of the site. The document's bytes are omitted if the entry already holds that version.
+// From a control VM to each entry, after the handshake and after each change.
+struct StateAnnouncement
+{
+    std::uint64_t revision = 0; // of the state that the control VM holds
+    bool sameRegion = false; // the entry is in the region of the control VM
+};
+
+// From an entry to one of the control VMs that announced a newer state.
+struct StateRequest
+{
+    std::uint64_t revision = 0; // of the state that the entry holds
+    std::uint64_t documentVersion = 0; // of the configuration in that state
+};
+
+// The answer to a StateRequest. The document's bytes are omitted if the entry already holds that
+// version.
 struct StateUpdate
 {
     SiteData data;
@@ -122,9 +135,9 @@
     }
 };
 
-using SiteMessage =
-        std::variant<Handshake, FreshnessProbe, FreshnessReply, StateUpdate, EndpointUpdate,
-                     OutcomeReport, WorkReport, ReplicaMessage, EntryUpdate>;
+using SiteMessage = std::variant<Handshake, FreshnessProbe, FreshnessReply, StateUpdate,
+                                 EndpointUpdate, OutcomeReport, WorkReport, ReplicaMessage,
+                                 EntryUpdate, StateAnnouncement, StateRequest>;
 
 } // namespace fireflyroute::core
 
--- a/core/state_feed.cpp
+++ b/core/state_feed.cpp
@@ -1,58 +1,30 @@
-// Decides when an entry is sent the state.
+// Announcements of the state, and answers to requests for it.
 
 #include "core/state_feed.h"
 
 namespace fireflyroute::core {
 
-namespace {
-
-// If an entry does not hold a state this long after it was sent, the state was lost with a
-// connection.
-constexpr std::chrono::milliseconds kDeliveryTimeout{600};
-
-// Control VMs in the region of the entry receive a commit with the next heartbeat of the leader and
-// then send it. The leader itself sends only after this delay.
-constexpr std::chrono::milliseconds kLeaderSendDelay{500};
-
-} // namespace
-
-void StateFeed::recordHeldState(std::uint64_t revision, std::uint64_t documentVersion)
+std::optional<StateAnnouncement> StateFeed::onChange(const SiteData &state, Instant now)
 {
-    hasReportedState_ = true;
-    heldRevision_ = revision;
-    heldDocumentVersion_ = documentVersion;
-}
-
-std::optional<StateUpdate> StateFeed::onChange(const SiteData &state, Instant now)
-{
-    const bool isRateLimited = sentAt_ && now - *sentAt_ < kMinSendInterval;
+    const bool isRateLimited = announcedAt_ && now - *announcedAt_ < kMinAnnounceInterval;
     if (!isDue(state) || isRateLimited)
         return std::nullopt;
-    return send(state, now);
+    announcedRevision_ = state.revision;
+    announcedAt_ = now;
+    return StateAnnouncement{state.revision, inSameRegion_};
 }
 
-std::optional<StateUpdate> StateFeed::onProbe(const SiteData &state, bool isLeader,
-                                              Instant changedAt, Instant now)
+std::optional<StateUpdate> StateFeed::answer(const StateRequest &request, const SiteData &state)
 {
-    if (heldRevision_ >= state.revision)
-        return std::nullopt;
-    const bool isInFlight =
-            sentRevision_ >= state.revision && sentAt_ && now - *sentAt_ < kDeliveryTimeout;
-    const bool isResponsible = inSameRegion_ || (isLeader && now - changedAt >= kLeaderSendDelay);
-    if (isInFlight || !isResponsible)
+    if (state.revision <= request.revision)
         return std::nullopt;
-    return send(state, now);
-}
-
-StateUpdate StateFeed::send(const SiteData &state, Instant now)
-{
-    sentRevision_ = state.revision;
-    sentAt_ = now;
-    StateUpdate update{state, false};
-    if (heldDocumentVersion_ == state.document.version) {
-        update.documentOmitted = true;
-        update.data.document.bytes.clear();
-    }
+    StateUpdate update;
+    update.data.revision = state.revision;
+    update.data.rollouts = state.rollouts;
+    update.data.document.version = state.document.version;
+    update.documentOmitted = request.documentVersion == state.document.version;
+    if (!update.documentOmitted)
+        update.data.document.bytes = state.document.bytes;
     return update;
 }
 
--- a/core/state_feed.h
+++ b/core/state_feed.h
@@ -1,11 +1,9 @@
-// Decides what one control VM sends to one entry of the state of the site, and when. Documents are
-// large and traffic between regions is billed, so an entry gets each change from the control VMs of
-// its own region, and from the leader only if it lags behind.
+// Decides what one control VM announces to one entry of the state of the site, and answers the
+// entry's requests. The entry fetches the state itself; see core/state_fetch.h.
 //
 //   StateFeed feed(inSameRegion);
-//   feed.recordHeldState(probe.revision, probe.documentVersion);
-//   if (auto update = feed.onChange(state, now)) link.send(*update);
-//   if (auto update = feed.onProbe(state, isLeader, changedAt, now)) link.send(*update);
+//   if (auto announcement = feed.onChange(state, now)) link.send(*announcement);
+//   if (auto update = StateFeed::answer(request, state)) link.send(*update);
 
 #ifndef FIREFLYROUTE_CORE_STATE_FEED_H
 #define FIREFLYROUTE_CORE_STATE_FEED_H
@@ -22,40 +20,33 @@
 class StateFeed
 {
 public:
-    // Changes within this interval are sent together.
-    static constexpr std::chrono::milliseconds kMinSendInterval{100};
+    // Changes within this interval are announced together.
+    static constexpr std::chrono::milliseconds kMinAnnounceInterval{100};
 
     // `inSameRegion`: the entry is in the region of this control VM.
     explicit StateFeed(bool inSameRegion = false)
         : inSameRegion_(inSameRegion)
     {}
 
-    // Records the state that the entry reported.
-    void recordHeldState(std::uint64_t revision, std::uint64_t documentVersion);
+    // Called when the entry has connected and after each change of the state. Returns nothing while
+    // the minimum interval has not passed; see isDue().
+    [[nodiscard]] std::optional<StateAnnouncement> onChange(const SiteData &state, Instant now);
 
-    // Called after a change of the state. Returns nothing while the minimum interval has not
-    // passed; see isDue().
-    [[nodiscard]] std::optional<StateUpdate> onChange(const SiteData &state, Instant now);
-
-    // Called for a probe of the entry. `changedAt`: when the state last changed on this VM.
-    [[nodiscard]] std::optional<StateUpdate> onProbe(const SiteData &state, bool isLeader,
-                                                     Instant changedAt, Instant now);
-
-    // Returns whether onChange() will have an update to send once the minimum interval has passed.
+    // Returns whether onChange() will have an announcement once the minimum interval has passed.
     [[nodiscard]] bool isDue(const SiteData &state) const
     {
-        return inSameRegion_ && hasReportedState_ && sentRevision_ < state.revision;
+        return announcedRevision_ < state.revision;
     }
 
-private:
-    StateUpdate send(const SiteData &state, Instant now);
+    // Returns the answer to a request, or nothing if the state is not newer than the entry's. The
+    // document is omitted if the entry holds it.
+    [[nodiscard]] static std::optional<StateUpdate> answer(const StateRequest &request,
+                                                           const SiteData &state);
 
+private:
     bool inSameRegion_;
-    bool hasReportedState_ = false; // the entry has reported the state that it holds
-    std::uint64_t heldRevision_ = 0; // as last reported by the entry
-    std::uint64_t heldDocumentVersion_ = 0; // as last reported by the entry
-    std::uint64_t sentRevision_ = 0;
-    std::optional<Instant> sentAt_;
+    std::uint64_t announcedRevision_ = 0;
+    std::optional<Instant> announcedAt_;
 };
 
 } // namespace fireflyroute::core
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -174,7 +174,7 @@
 template<class Archive>
 void serialize(Archive &archive, FreshnessProbe &message)
 {
-    archive(message.nonce, message.revision, message.documentVersion);
+    archive(message.nonce);
 }
 
 template<class Archive>
@@ -183,6 +183,18 @@
     archive(message.nonce, message.latestRevision, message.authoritative, message.controlVms);
 }
 
+template<class Archive>
+void serialize(Archive &archive, StateAnnouncement &message)
+{
+    archive(message.revision, message.sameRegion);
+}
+
+template<class Archive>
+void serialize(Archive &archive, StateRequest &message)
+{
+    archive(message.revision, message.documentVersion);
+}
+
 template<class Archive>
 void serialize(Archive &archive, StateUpdate &message)
 {
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -84,6 +84,19 @@
     BOOST_TEST((std::get<core::EntryUpdate>(read.value()) == update));
 }
 
+BOOST_AUTO_TEST_CASE(announcements_and_requests_of_the_state_round_trip)
+{
+    const auto announcement =
+            net::decodeMessage(net::encodeMessage(core::StateAnnouncement{9, true}));
+    BOOST_REQUIRE(announcement);
+    BOOST_TEST(std::get<core::StateAnnouncement>(announcement.value()).revision == 9U);
+    BOOST_TEST(std::get<core::StateAnnouncement>(announcement.value()).sameRegion);
+    const auto request = net::decodeMessage(net::encodeMessage(core::StateRequest{8, 7}));
+    BOOST_REQUIRE(request);
+    BOOST_TEST(std::get<core::StateRequest>(request.value()).revision == 8U);
+    BOOST_TEST(std::get<core::StateRequest>(request.value()).documentVersion == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(truncated_frames_are_rejected)
 {
     const std::string bytes = net::encodeMessage(core::StateUpdate{siteData()});
