--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -1,6 +1,7 @@
 """Process tests of a site on the users' platform: control VMs and an entry over loopback, with
 stand-ins for workers and the operator."""
 
+import itertools
 import json
 import os
 import signal
@@ -222,6 +223,44 @@
                         while link.recv(1 << 16):
                             pass
 
+    # Guards against prompts with one part that crashes workers being sent to one worker after another
+    # (issue 19, BUDGET).
+    def test_prompt_part_that_crashes_workers_stops_reaching_them(self):
+        with Site(20, entries=2) as site:
+            site.configure(1)
+            workers = [site.worker("i-%d" % number, "llm", deadly_part="dead") for number in range(6)]
+            numbers = itertools.count(1)
+
+            def draft(entry, part):
+                """Sends a request whose other parts are common, except for the last one."""
+                return site.request("/drafts/1", entry=entry, headers={
+                    "Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "15,12",
+                    "Fireflyroute-Prompt-Prefix": "a:5,%s:5,%x:5" % (part, next(numbers))})[0]
+
+            def crashes():
+                return sum(worker.crashes for worker in workers)
+
+            for entry in range(2):
+                wait_until(lambda entry=entry: site.is_ready(entry), "the entry is ready")
+                wait_until(lambda entry=entry: draft(entry, "b") == 200, "drafts")
+            while crashes() < 5:
+                draft(0, "dead")
+                time.sleep(0.5)  # the workers report that they have started again
+            # Other requests go on for the time that the platform allows the entries to react.
+            end = time.monotonic() + 4
+            callers = [threading.Thread(target=lambda entry=entry: [
+                draft(entry, "b") for _ in iter(lambda: time.monotonic() < end, False)])
+                for entry in (0, 0, 1, 1)]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+            before = crashes()
+            for number in range(10):
+                draft(number % 2, "dead")
+                self.assertEqual(draft(number % 2, "b"), 200)
+            self.assertLessEqual(crashes() - before, 3)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -39,11 +39,13 @@
 
 
 class Worker:
-    """A worker of one service. `faults` maps the last segment of a path to a simulated fault."""
+    """A worker of one service. `faults` maps the last segment of a path to a simulated fault. The worker
+    ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
 
-    def __init__(self, site, name, ip, service, version="v1", faults=None):
+    def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None):
         self.site, self.name, self.service, self.version = site, name, service, version
-        self.faults = faults or {}
+        self.faults, self.deadly_part = faults or {}, deadly_part
+        self.crashes = 0
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.runs = []  # (request id, path, headers) of each executed request
         worker = self
@@ -96,6 +98,11 @@
             return
         self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
                           dict(request.headers)))
+        prompt = request.headers.get("Fireflyroute-Prompt-Prefix") or ""
+        if self.deadly_part and self.deadly_part + ":" in prompt:
+            self.crashes += 1
+            self.sequence, self.started_at_ms = 0, int(time.time() * 1000)
+            fault = "reset"
         if fault == "reset":
             request.connection.shutdown(socket.SHUT_RDWR)
             request.close_connection = True
