Quarantine parts of prompts that crash endpoints

Cause: an entry judged endpoints by their failures and never requests by the endpoints that they crashed. A stream that may be resumed was sent to three endpoints, and the next request with the same part to three more. core/quarantine, which no process uses, compares whole requests, and these are no two alike. Change: entries report to the leader which requests were in flight without an answer on an endpoint that crashed, by their traits (prompt parts, or a hash of the call), and answers to requests with suspect traits (core/crash_watch). Traits that sound requests share are cleared by their answers; a crash that a quarantined trait explains is no evidence against the others. Ruled out: evidence exchanged between all entries, whose messages grow with the square of their number.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -78,6 +78,8 @@
     void waitForStartup();
     void chooseService();
 
+    [[nodiscard]] std::vector<core::RequestTrait> traits() const;
+    [[nodiscard]] bool isQuarantined(core::Instant now) const;
     void startAttempt();
     void send(const core::PickResult &pick, core::Instant now);
     [[nodiscard]] core::PickRequest makePickRequest(std::size_t model) const;
@@ -106,6 +108,7 @@
     void retryOrForwardError();
     void finishStream();
     void recordEventInterval();
+    void recordAnswered();
     void failRequest(std::string_view cause);
     void refuse(core::Refusal refusal);
     void finish(std::string_view outcome, unsigned status);
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -163,6 +163,31 @@
     }
 }
 
+// What the request has in common with others that may crash endpoints.
+template<TrafficDialect Dialect>
+std::vector<core::RequestTrait> ProxyRequest<Dialect>::traits() const
+{
+    return core::traitsOf(meta_.prompt, account_ ? account_->id : core::ClientAccountId(),
+                          request_.target, request_.body);
+}
+
+template<TrafficDialect Dialect>
+bool ProxyRequest<Dialect>::isQuarantined(core::Instant now) const
+{
+    if (!plane_.crashWatch.isActive())
+        return false;
+    const std::optional<core::RequestTrait> found =
+            plane_.crashWatch.findQuarantined(traits(), now);
+    if (!found)
+        return false;
+    LogLine(plane_.log, LogKind::Quarantine)
+            .add("event", "refused")
+            .add("id", meta_.id.value())
+            .add("trait", core::describe(std::vector{*found}))
+            .add("attempts", attemptTracker_.attemptCount());
+    return true;
+}
+
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::startAttempt()
 {
@@ -171,6 +196,13 @@
         failRequest("no time left");
         return;
     }
+    if (isQuarantined(now)) {
+        if (responseStarted_)
+            failRequest("quarantined");
+        else
+            refuse(core::Refusal::Quarantined);
+        return;
+    }
     const core::PickResult pick = pickEndpoint(model_, now);
     if (pick.endpoint)
         send(pick, now);
@@ -434,6 +466,7 @@
         const core::Duration latency = attempt_->lastProgressAt - attempt_->sentAt;
         plane_.monitor.recordSuccess(attempt_->endpoint.id, attempt_->lastProgressAt);
         plane_.recordOutcome(attempt_->endpoint, route_->name, true, latency);
+        recordAnswered();
     }
     if (!responseStarted_) {
         responseStarted_ = true;
@@ -450,6 +483,7 @@
         return;
     }
     if (attempt_->head.status >= proxy::kFirstNonSuccessStatus) {
+        recordAnswered();
         retryOrForwardError();
         return;
     }
@@ -460,6 +494,7 @@
     const core::Instant now = plane_.clock.now();
     const core::Duration latency = now - attempt_->sentAt;
     const core::Duration typical = plane_.typicalLatency(route_->name);
+    recordAnswered();
     plane_.monitor.recordSuccess(attempt_->endpoint.id, now);
     if (typical > core::Duration::zero()) {
         plane_.monitor.recordRelativeLatency(attempt_->endpoint.id,
@@ -521,6 +556,14 @@
     finish("answered", attempt_->head.status);
 }
 
+// The endpoint did not crash on the request.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::recordAnswered()
+{
+    if (plane_.crashWatch.isActive())
+        plane_.crashWatch.recordAnswered(service_, traits());
+}
+
 // Records the event interval that was measured in this attempt.
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::recordEventInterval()
@@ -545,6 +588,12 @@
         plane_.pool.closeIdle(attempt_->endpoint.id);
     if (failure.error == net::ExchangeError::ConnectFailed)
         plane_.monitor.recordConnectionRefusal(attempt_->endpoint.id);
+    const bool mayHaveCrashed = failure.mayHaveReachedPeer && !attempt_->hasEvent
+                                && failure.error != net::ExchangeError::Malformed;
+    if (mayHaveCrashed) {
+        plane_.crashWatch.recordCrash(
+                {attempt_->endpoint.id, attempt_->endpoint.startedAtMs, service_, traits()});
+    }
     failAttempt(failure.mayHaveReachedPeer ? core::AttemptOutcome::Failed
                                            : core::AttemptOutcome::NotSent,
                 core::nameOf(failure.error), isSevere);
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::chrono::milliseconds kExpiryPeriod{500};
 constexpr std::chrono::milliseconds kRolloutEvaluationPeriod{200};
+constexpr std::chrono::milliseconds kCrashEvaluationPeriod{100};
 
 // How long the work reported by an entry counts. Covers several report intervals.
 constexpr std::chrono::milliseconds kWorkReportLifetime{1000};
@@ -102,6 +103,7 @@
     connectControlVms();
     runEvery(kExpiryPeriod, [this] { expireSoftState(); });
     runEvery(kRolloutEvaluationPeriod, [this] { evaluateRollouts(); });
+    runEvery(kCrashEvaluationPeriod, [this] { evaluateCrashes(); });
     return core::outcome::success();
 }
 
@@ -345,6 +347,8 @@
             record.unresponsive = false;
     }
     peer.link->send(net::encodeMessage(update));
+    if (driver_->hasLease())
+        peer.link->send(net::encodeMessage(crashAttribution_.state(clock_.now())));
 }
 
 void SiteControl::handleMessage(Peer &peer, const core::FreshnessProbe &message)
@@ -393,6 +397,23 @@
     peer.link->send(net::encodeMessage(workExchange_.workOfOthers(peer.vm, now)));
 }
 
+void SiteControl::handleMessage(Peer &peer, const core::CrashReport &message)
+{
+    const core::Instant now = clock_.now();
+    for (const core::EndpointCrash &crash : message.crashes) {
+        LogLine(log_, LogKind::Quarantine)
+                .add("event", "crash")
+                .add("endpoint", crash.endpoint.value())
+                .add("born_ms", static_cast<std::int64_t>(crash.startedAtMs))
+                .add("from", peer.vm.value())
+                .add("traits", core::describe(crash.traits));
+        crashAttribution_.recordCrash(crash, now);
+    }
+    crashAttribution_.recordAnswers(message, now);
+    for (const core::QuarantinedTrait &quarantined : message.quarantined)
+        crashAttribution_.recordQuarantined(quarantined, now);
+}
+
 // Forwards the update to all entries except its sender.
 void SiteControl::handleMessage(Peer &peer, const core::EntryUpdate &message)
 {
@@ -527,8 +548,10 @@
             .add("role", core::nameOf(changed.role))
             .add("term", static_cast<std::int64_t>(changed.term))
             .add("leader", changed.leader ? changed.leader->vm.value() : std::string());
-    if (changed.role == core::ReplicaRole::Leader)
+    if (changed.role == core::ReplicaRole::Leader) {
         rolloutEvaluator_ = core::RolloutJudge();
+        crashAttribution_ = core::CrashAttribution();
+    }
 }
 
 void SiteControl::evaluateRollouts()
@@ -546,6 +569,19 @@
     }
 }
 
+void SiteControl::evaluateCrashes()
+{
+    const core::Instant now = clock_.now();
+    if (!driver_->hasLease() || !crashAttribution_.update(now))
+        return;
+    const core::QuarantineState state = crashAttribution_.state(now);
+    LogLine(log_, LogKind::Quarantine)
+            .add("event", "changed")
+            .add("watched", core::describe(state.watched))
+            .add("quarantined", core::describe(state.quarantined));
+    sendToEntries(state);
+}
+
 std::string SiteControl::metrics() const
 {
     const core::Replica &replica = driver_->replica();
@@ -563,6 +599,7 @@
     gauge("control_heartbeats_total", heartbeats_);
     gauge("control_links_accepted", incomingLinks_.size());
     gauge("control_endpoints", registry_.all().size());
+    gauge("control_quarantined", crashAttribution_.state(clock_.now()).quarantined.size());
     gauge("site_revision", state_.data().revision);
     gauge("site_config_version", state_.data().document.version);
     gauge("log_lines_dropped_total", log_.droppedTotal());
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -14,6 +14,8 @@
 #include "app/site_settings.h"
 #include "app/structured_log.h"
 #include "core/control_directory.h"
+#include "core/crash_attribution.h"
+#include "core/crash_watch.h"
 #include "core/rollout_judge.h"
 #include "core/site_calls.h"
 #include "core/site_messages.h"
@@ -84,11 +86,13 @@
     void handleMessage(Peer &peer, const core::WorkReport &message);
     void handleMessage(Peer &peer, const core::EntryUpdate &message);
     void handleMessage(Peer &peer, const core::ReplicaMessage &message);
+    void handleMessage(Peer &peer, const core::CrashReport &message);
     void handleMessage(Peer &peer, const core::StateRequest &message);
     // Messages that only entries receive.
     void handleMessage(Peer & /*peer*/, const core::FreshnessReply & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::StateAnnouncement & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
+    void handleMessage(Peer & /*peer*/, const core::QuarantineState & /*message*/) {}
 
     // State and links.
     void apply(const std::string &payload);
@@ -103,6 +107,7 @@
     void sendToControlVms(const core::SiteMessage &message);
     void runEvery(std::chrono::milliseconds period, const std::function<void()> &task);
     void evaluateRollouts();
+    void evaluateCrashes();
     void expireSoftState();
 
     boost::asio::io_context &io_;
@@ -113,6 +118,7 @@
     core::ControlDirectory directory_;
     core::EndpointRegistry registry_;
     core::RolloutJudge rolloutEvaluator_;
+    core::CrashAttribution crashAttribution_;
     core::WorkExchange workExchange_;
     std::unique_ptr<ReplicaDriver> driver_; // set by open()
     std::map<net::FrameLink *, Peer> incomingLinks_;
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -41,6 +41,7 @@
     std::function<void(core::Instant)> freshUntilChanged;
     std::function<void(core::WorkReport)> peerWorkReported;
     std::function<void(core::EntryUpdate)> peerUpdatesReceived;
+    std::function<void(core::QuarantineState)> quarantineChanged;
 };
 
 class SiteEntry
@@ -87,6 +88,10 @@
     {
         outputs_.peerUpdatesReceived(message);
     }
+    void handleMessage(const core::VmId & /*vm*/, const core::QuarantineState &message)
+    {
+        outputs_.quarantineChanged(message);
+    }
     template<typename Other>
     void handleMessage(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -158,20 +158,29 @@
                 plane_.applyUpdates(updates);
             });
         };
+        outputs.quarantineChanged = [this](core::QuarantineState state) {
+            boost::asio::post(trafficIo_, [this, state = std::move(state)] {
+                plane_.crashWatch.apply(state, clock_.now());
+            });
+        };
         return outputs;
     }
 
-    // Periodically reports this entry's dispatched work, session versions, processed prompts and
-    // refused connections to the leader, which shares them with the other entries.
+    // Periodically reports this entry's dispatched work, session versions, processed prompts,
+    // refused connections and crashes to the leader, which shares them or its conclusions with the
+    // other entries.
     void reportWork()
     {
         workTimer_.expires_after(kWorkReportPeriod);
         workTimer_.async_wait([this](const boost::system::error_code &) {
             boost::asio::post(io_, [this, report = plane_.monitor.localWork(),
-                                    updates = plane_.drainUpdates()] {
+                                    updates = plane_.drainUpdates(),
+                                    crashes = plane_.crashWatch.takeReport(clock_.now())] {
                 entry_.sendToLeader(report);
                 if (!updates.isEmpty())
                     entry_.sendToLeader(updates);
+                if (!crashes.isEmpty())
+                    entry_.sendToLeader(crashes);
             });
             reportWork();
         });
--- a/app/structured_log.h
+++ b/app/structured_log.h
@@ -31,6 +31,7 @@
     Request, // the outcome of a request
     Attempt, // a retry, an escalation or a failed attempt
     Freshness, // whether the entry's state is fresh enough to serve
+    Quarantine, // crashes of endpoints, and the requests that are refused because of them
 };
 
 } // namespace fireflyroute::app
@@ -50,6 +51,7 @@
             EnumName{app::LogKind::Request, "request"},
             EnumName{app::LogKind::Attempt, "attempt"},
             EnumName{app::LogKind::Freshness, "currency"},
+            EnumName{app::LogKind::Quarantine, "quarantine"},
     };
 };
 
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -9,6 +9,7 @@
 #include "app/request_histograms.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
+#include "core/crash_watch.h"
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_pick.h"
 #include "core/fault_sieve.h"
@@ -134,6 +135,7 @@
     core::ModelChooser models;
     core::SessionPins pins;
     core::PromptIndex prompts;
+    core::CrashWatch crashWatch;
     EndpointPool pool;
     TrafficCounts counts;
     std::map<core::Refusal, std::uint64_t> refusals;
--- /dev/null
+++ b/core/crash_watch.h
@@ -0,0 +1,76 @@
+// An entry's part in the quarantine of requests that crash endpoints: reports crashes and answers
+// to the leader, and knows the traits whose requests must not be dispatched. Runs on the traffic
+// thread.
+//
+//   CrashWatch watch;
+//   watch.recordCrash({endpoint, startedAtMs, service, traits});     // ended without an answer
+//   watch.recordAnswered(service, traits);
+//   if (watch.findQuarantined(traits, now)) refuse
+//   send(watch.takeReport(now));                          // to the leader
+//   watch.apply(state, now);                              // from the leader
+//
+// core/crash_attribution.h decides which traits are quarantined.
+
+#ifndef FIREFLYROUTE_CORE_CRASH_WATCH_H
+#define FIREFLYROUTE_CORE_CRASH_WATCH_H
+
+#include "core/clock.h"
+#include "core/site_calls.h"
+#include "core/site_messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflyroute::core {
+
+// Returns the traits of a request: the parts of its prompt or, without a prompt, one for what the
+// client account asks for.
+[[nodiscard]] std::vector<RequestTrait> traitsOf(const std::vector<PromptPart> &prompt,
+                                                 const ClientAccountId &account,
+                                                 std::string_view target, std::string_view body);
+
+// Returns traits in hexadecimal for logs, as many as fit in a line.
+[[nodiscard]] std::string describe(const std::vector<RequestTrait> &traits);
+[[nodiscard]] std::string describe(const std::vector<QuarantinedTrait> &traits);
+
+class CrashWatch
+{
+public:
+    // Interval at which the quarantined traits are reported, for a new leader.
+    static constexpr std::chrono::seconds kQuarantineReportInterval{1};
+
+    // Limit of the crashes in one report.
+    static constexpr std::size_t kMaxCrashes = 100;
+
+    // Whether any trait is quarantined or watched, so that the traits of a request are needed.
+    [[nodiscard]] bool isActive() const { return !watched_.empty() || !quarantinedUntil_.empty(); }
+
+    // Returns the first quarantined trait.
+    [[nodiscard]] std::optional<RequestTrait>
+    findQuarantined(const std::vector<RequestTrait> &traits, Instant now) const;
+
+    void recordCrash(EndpointCrash crash);
+    void recordAnswered(const ServiceName &service, const std::vector<RequestTrait> &traits);
+
+    // Returns and clears the observations since the last call.
+    [[nodiscard]] CrashReport takeReport(Instant now);
+
+    void apply(const QuarantineState &state, Instant now);
+
+private:
+    std::set<RequestTrait> watched_; // answers to requests with these are reported
+    std::map<RequestTrait, Instant> quarantinedUntil_;
+    std::vector<EndpointCrash> crashes_; // not yet reported; at most kMaxCrashes
+    std::set<RequestTrait> answered_; // not yet reported; only watched ones
+    std::map<ServiceName, std::uint32_t> answers_; // not yet reported, since traits are watched
+    Instant quarantineReportedAt_;
+};
+
+} // namespace fireflyroute::core
+
+#endif
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -119,6 +119,61 @@
     bool operator==(const PromptPrefixUpdate &) const = default;
 };
 
+// What requests have in common with others: a part of a prompt, or a hash of what is asked for.
+enum class RequestTrait : std::uint64_t {};
+
+// A request was in flight, without the first part of an answer, on an endpoint that crashed.
+struct EndpointCrash
+{
+    EndpointId endpoint;
+    std::uint64_t startedAtMs = 0; // incarnation of the endpoint
+    ServiceName service;
+    std::vector<RequestTrait> traits; // of the request
+
+    bool operator==(const EndpointCrash &) const = default;
+};
+
+struct ServiceAnswers
+{
+    ServiceName service;
+    std::uint32_t count = 0;
+
+    bool operator==(const ServiceAnswers &) const = default;
+};
+
+struct QuarantinedTrait
+{
+    RequestTrait trait{};
+    Duration remaining{};
+
+    bool operator==(const QuarantinedTrait &) const = default;
+};
+
+// From an entry to the leader; see core/crash_watch.h.
+struct CrashReport
+{
+    std::vector<EndpointCrash> crashes;
+    std::vector<RequestTrait> answered; // watched traits of answered requests
+    std::vector<ServiceAnswers> answers; // number of answers while traits are watched
+    std::vector<QuarantinedTrait> quarantined; // known to the entry; sent at longer intervals
+
+    bool operator==(const CrashReport &) const = default;
+
+    [[nodiscard]] bool isEmpty() const
+    {
+        return crashes.empty() && answered.empty() && answers.empty() && quarantined.empty();
+    }
+};
+
+// From the leader to all entries, after each change.
+struct QuarantineState
+{
+    std::vector<RequestTrait> watched; // answers to requests with these are to be reported
+    std::vector<QuarantinedTrait> quarantined;
+
+    bool operator==(const QuarantineState &) const = default;
+};
+
 // Observations of an entry that other entries may not have. Sent to the leader, which forwards them
 // to all other entries.
 struct EntryUpdate
@@ -135,9 +190,10 @@
     }
 };
 
-using SiteMessage = std::variant<Handshake, FreshnessProbe, FreshnessReply, StateUpdate,
-                                 EndpointUpdate, OutcomeReport, WorkReport, ReplicaMessage,
-                                 EntryUpdate, StateAnnouncement, StateRequest>;
+using SiteMessage =
+        std::variant<Handshake, FreshnessProbe, FreshnessReply, StateUpdate, EndpointUpdate,
+                     OutcomeReport, WorkReport, ReplicaMessage, EntryUpdate, StateAnnouncement,
+                     StateRequest, CrashReport, QuarantineState>;
 
 } // namespace fireflyroute::core
 
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -7,6 +7,7 @@
 #include <boost/iostreams/device/array.hpp>
 #include <boost/iostreams/stream.hpp>
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -264,6 +265,36 @@
     archive(message.sessions, message.prompts, message.refusingEndpoints);
 }
 
+template<class Archive>
+void serialize(Archive &archive, EndpointCrash &record)
+{
+    archive(record.endpoint, record.startedAtMs, record.service, record.traits);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ServiceAnswers &record)
+{
+    archive(record.service, record.count);
+}
+
+template<class Archive>
+void serialize(Archive &archive, QuarantinedTrait &record)
+{
+    archive(record.trait, record.remaining);
+}
+
+template<class Archive>
+void serialize(Archive &archive, CrashReport &message)
+{
+    archive(message.crashes, message.answered, message.answers, message.quarantined);
+}
+
+template<class Archive>
+void serialize(Archive &archive, QuarantineState &message)
+{
+    archive(message.watched, message.quarantined);
+}
+
 } // namespace cereal
 
 namespace fireflyroute::net {
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -86,6 +86,24 @@
     BOOST_TEST((std::get<core::EntryUpdate>(read.value()) == update));
 }
 
+BOOST_AUTO_TEST_CASE(crash_reports_and_quarantines_round_trip)
+{
+    core::CrashReport report;
+    BOOST_TEST(report.isEmpty());
+    report.crashes = {
+            {core::EndpointId("i-1"), 5, core::ServiceName("llm"), {core::RequestTrait{0xdead}}}};
+    report.answered = {core::RequestTrait{1}};
+    report.answers = {{core::ServiceName("llm"), 20}};
+    report.quarantined = {{core::RequestTrait{2}, std::chrono::minutes(3)}};
+    const auto read = net::decodeMessage(net::encodeMessage(report));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((std::get<core::CrashReport>(read.value()) == report));
+    const core::QuarantineState state{report.answered, report.quarantined};
+    const auto readState = net::decodeMessage(net::encodeMessage(state));
+    BOOST_REQUIRE(readState);
+    BOOST_TEST((std::get<core::QuarantineState>(readState.value()) == state));
+}
+
 BOOST_AUTO_TEST_CASE(announcements_and_requests_of_the_state_round_trip)
 {
     const auto announcement =
