Find slow answers by the median latency of their route

Cause: an answer is slow if it takes four times the typical latency of its route, and that was an average. With three of ten endpoints five times slower it more than doubles, so that half of the answers of a version that is eight times slower counted as sound: 12 of 90 were slow, of other versions 97 of 962. Change: the baseline for slow answers is an estimate of the median (core/latency_baseline). The time-out of silent endpoints keeps the average.

--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -23,11 +23,6 @@
 // Maximum number of requests that wait for the start-up. Further ones are refused.
 constexpr std::size_t kMaxWaitingRequests = 400;
 
-// An answer counts as slow if it takes longer than this factor times the typical latency, and
-// longer than kMinSlowLatency.
-constexpr double kSlowFactor = 4;
-constexpr std::chrono::milliseconds kMinSlowLatency{150};
-
 // Time between the refusal of new streams and the refusal of all requests in a stopping process.
 // Streams that started in the first three seconds after the stop signal may be interrupted by the
 // exit; later ones must not be, so no stream is started from 2.8 s (acceptPeriod minus this) on.
@@ -182,17 +177,17 @@
     }
     const std::chrono::duration<double, std::milli> measured = latency;
     const auto [typical, isNew] = typicalLatencyMs_.try_emplace(route, measured.count());
-    const bool isSlow =
-            latency > kMinSlowLatency && measured.count() > kSlowFactor * typical->second && !isNew;
-    if (isSlow)
+    if (latencyBaseline_.isSlow(route, latency))
         ++count.slow;
     else
         ++count.succeeded;
     const auto rollout = view->rollouts.find(endpoint.service);
     const bool isCanary = rollout != view->rollouts.end() && !rollout->second.isFinal()
                           && rollout->second.target == endpoint.version;
-    if (!isCanary)
-        typical->second += kNewSampleWeight * (measured.count() - typical->second);
+    if (isCanary)
+        return;
+    typical->second += kNewSampleWeight * (measured.count() - typical->second);
+    latencyBaseline_.record(route, latency);
 }
 
 void TrafficPlane::recordInterruption(const core::EndpointRecord &endpoint,
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -13,6 +13,7 @@
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_pick.h"
 #include "core/fault_sieve.h"
+#include "core/latency_baseline.h"
 #include "core/model_choice.h"
 #include "core/prompt_index.h"
 #include "core/retry_budget.h"
@@ -159,6 +160,7 @@
     const core::Instant startedAt_;
     std::vector<std::function<void()>> waitingRequests_; // at most kMaxWaitingRequests
     std::map<std::string, double> typicalLatencyMs_; // moving average per route
+    core::LatencyBaseline latencyBaseline_; // decides which answers are slow
     std::map<std::string, double> typicalPrefillMs_; // moving average per route
     std::map<core::ModelName, double> eventIntervalMs_; // moving average per model
 };
