Expand a version only on evidence for its health

Cause: a canary was expanded at 55% of its time unless the evidence against it was overwhelming. An undecided version got all requests. Change: it expands only if it is healthy at odds of 10 to 1 over all routes and no route speaks against it. With 40 answers or more and still undecided at 65% of the time it is rolled back: a faulty version costs callers more than a sound one that is late. The new case of core.rollout_judge_test failed before: expanded at 12 s.

--- a/core/rollout_judge.cpp
+++ b/core/rollout_judge.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <numeric>
 
 namespace fireflyroute::core {
 
@@ -76,12 +77,13 @@
     const std::chrono::duration<double, std::milli> elapsed = now - monitor.startedAt;
     const double elapsedFraction = elapsed.count() / std::max<double>(rollout.durationMs, 1);
     if (rollout.stage == RolloutStage::Canary) {
-        std::uint64_t answers = 0;
-        for (const auto &[route, counts] : monitor.target)
-            answers += counts.answers;
-        if (elapsedFraction >= policy_.expandAfterFraction && answers >= policy_.minAnswers)
+        if (elapsedFraction < policy_.expandAfterFraction)
+            return std::nullopt;
+        if (isHealthy(monitor))
             return RolloutStage::Expanding;
-        return std::nullopt;
+        const bool isUndecided = elapsedFraction >= policy_.decideByFraction
+                                 && answersOf(monitor) >= policy_.maxUndecidedAnswers;
+        return isUndecided ? std::optional(RolloutStage::RolledBack) : std::nullopt;
     }
     const bool isIdle =
             std::all_of(monitor.othersOutstanding.begin(), monitor.othersOutstanding.end(),
@@ -93,20 +95,50 @@
 }
 
 bool RolloutJudge::isFaulty(const RolloutMonitor &monitor) const
+{
+    for (const auto &[route, counts] : monitor.target) {
+        if (evidenceAgainst(counts, othersOn(monitor, route)) >= policy_.evidenceThreshold)
+            return true;
+    }
+    return evidenceAgainst(monitor) >= policy_.evidenceThreshold;
+}
+
+bool RolloutJudge::isHealthy(const RolloutMonitor &monitor) const
+{
+    for (const auto &[route, counts] : monitor.target) {
+        if (counts.answers >= policy_.minAnswers
+            && evidenceAgainst(counts, othersOn(monitor, route)) > 0)
+            return false;
+    }
+    return evidenceAgainst(monitor) <= -policy_.healthThreshold;
+}
+
+std::uint64_t RolloutJudge::answersOf(const RolloutMonitor &monitor)
+{
+    return std::accumulate(
+            monitor.target.begin(), monitor.target.end(), std::uint64_t{0},
+            [](std::uint64_t sum, const auto &item) { return sum + item.second.answers; });
+}
+
+RolloutJudge::Counts RolloutJudge::othersOn(const RolloutMonitor &monitor, const std::string &route)
+{
+    const auto others = monitor.others.find(route);
+    return others == monitor.others.end() ? Counts{} : others->second;
+}
+
+// Evidence over all routes of the target.
+double RolloutJudge::evidenceAgainst(const RolloutMonitor &monitor) const
 {
     Counts allTarget;
     Counts allOthers;
     for (const auto &[route, counts] : monitor.target) {
-        const auto others = monitor.others.find(route);
-        const Counts reference = others == monitor.others.end() ? Counts{} : others->second;
-        if (evidenceAgainst(counts, reference) >= policy_.evidenceThreshold)
-            return true;
+        const Counts others = othersOn(monitor, route);
         allTarget.answers += counts.answers;
         allTarget.failures += counts.failures;
-        allOthers.answers += reference.answers;
-        allOthers.failures += reference.failures;
+        allOthers.answers += others.answers;
+        allOthers.failures += others.failures;
     }
-    return evidenceAgainst(allTarget, allOthers) >= policy_.evidenceThreshold;
+    return evidenceAgainst(allTarget, allOthers);
 }
 
 std::string RolloutJudge::describe(const ServiceName &service) const
@@ -116,8 +148,7 @@
         return "none";
     std::string text;
     for (const auto &[route, counts] : found->second.target) {
-        const auto others = found->second.others.find(route);
-        const Counts reference = others == found->second.others.end() ? Counts{} : others->second;
+        const Counts reference = othersOn(found->second, route);
         text += fmt::format("{} {}/{} failed or slow, others {}/{}; ", route, counts.failures,
                             counts.answers, reference.failures, reference.answers);
     }
--- a/core/testing/rollout_judge_test.cpp
+++ b/core/testing/rollout_judge_test.cpp
@@ -133,6 +133,32 @@
     BOOST_TEST(stageOf(step(4s)) == "none");
 }
 
+// Guards against a version being expanded although its answers are hardly told from those of a
+// faulty one, since endpoints of other versions are slow at the same time. Found by the generated
+// scenario bad-slow on site Vedeni, variant with --seed 1096948455104.
+BOOST_FIXTURE_TEST_CASE(version_without_evidence_for_its_health_is_not_expanded, Fixture)
+{
+    report("v1", "a", 398, 122);
+    report("v1", "b", 231, 65);
+    report("v1", "c", 124, 52);
+    report("v2", "a", 35, 12);
+    report("v2", "b", 20, 6);
+    report("v2", "c", 6, 10);
+    BOOST_TEST(stageOf(step(12s)) == "none");
+    BOOST_TEST(stageOf(step(13s)) == "rolled_back");
+    report("v2", "c", 30, 4);
+    BOOST_TEST(stageOf(step(13s)) == "expanding");
+}
+
+// With little traffic evidence takes longer, and few requests are exposed.
+BOOST_FIXTURE_TEST_CASE(version_with_few_answers_stays_canary, Fixture)
+{
+    report("v2", "a", 8, 0);
+    BOOST_TEST(stageOf(step(19s)) == "none");
+    report("v2", "a", 1, 0);
+    BOOST_TEST(stageOf(step(19s)) == "expanding");
+}
+
 // The wall clock of a new leader may be ahead, so the time before it saw the order counts only in
 // part.
 BOOST_AUTO_TEST_CASE(wall_clock_step_does_not_end_a_rollout)
