Give up answers of endpoints that have no end

Callers would see an entry stand still, or lose it: an endpoint may send bytes that are no answer until the connection is closed (users' pages, servers in trouble). Cause: the size of a chunk had no limit; an event without an end was kept up to 16 MB and searched again from its start with each read; each call and each error was buffered up to 16 MB, and the smallest entries have 88 MB. Change: limits for the line before a chunk (32 KB), for an event (256 KB, searched once), for the body of an error (64 KB), and for all buffered answers together (8 MB, beyond which those above 256 KB are given up). The request goes to another endpoint if it may.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -90,6 +90,8 @@
     void onHead(const net::HttpResponseHead &head);
     void onBody(std::string_view piece);
     void onEvents(std::string_view piece);
+    [[nodiscard]] std::string takeBody();
+    [[nodiscard]] bool isTooLarge() const;
     void onEnd(net::ResponseEnd end);
     void onFailed(const net::ExchangeFailure &failure);
     void onTimer();
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -52,6 +52,12 @@
 // Minimum number of events of a stream to measure an endpoint's event interval.
 constexpr std::uint32_t kMinEventsForInterval = 6;
 
+// Limits of answers that are buffered until they are complete: of an error, and of all answers
+// together, beyond which those larger than kLargeAnswerBytes are given up.
+constexpr std::size_t kMaxErrorBytes = 64U << 10U;
+constexpr std::size_t kMaxBufferedBytes = 8U << 20U;
+constexpr std::size_t kLargeAnswerBytes = 256U << 10U;
+
 constexpr unsigned kFirstNonSuccessStatus = 300;
 constexpr unsigned kFirstServerError = 500;
 
@@ -437,10 +443,31 @@
 {
     attempt_->lastProgressAt = plane_.clock.now();
     const bool isStreamed = isStream() && attempt_->head.status < proxy::kFirstNonSuccessStatus;
-    if (isStreamed)
+    if (isStreamed) {
         onEvents(piece);
-    else
-        attempt_->body += piece;
+        return;
+    }
+    attempt_->body += piece;
+    plane_.bufferedBytes += piece.size();
+    if (isTooLarge())
+        failAttempt(core::AttemptOutcome::Discarded, "answer too large", false);
+}
+
+template<TrafficDialect Dialect>
+std::string ProxyRequest<Dialect>::takeBody()
+{
+    plane_.bufferedBytes -= attempt_->body.size();
+    return std::exchange(attempt_->body, {});
+}
+
+// Whether the buffered answer has to be given up, since it may have no end.
+template<TrafficDialect Dialect>
+bool ProxyRequest<Dialect>::isTooLarge() const
+{
+    const std::size_t size = attempt_->body.size();
+    if (attempt_->head.status >= proxy::kFirstNonSuccessStatus)
+        return size > proxy::kMaxErrorBytes;
+    return size > proxy::kLargeAnswerBytes && plane_.bufferedBytes > proxy::kMaxBufferedBytes;
 }
 
 template<TrafficDialect Dialect>
@@ -458,6 +485,10 @@
             ++attempt_->relayedEvents;
         }
     }
+    if (attempt_->splitter.isOversized()) {
+        failAttempt(core::AttemptOutcome::Discarded, "event too large", false);
+        return;
+    }
     if (relayed.empty())
         return;
     if (!attempt_->hasEvent) {
@@ -503,7 +534,7 @@
     }
     plane_.recordOutcome(attempt_->endpoint, route_->name, true, latency);
     ++plane_.counts.answered;
-    session_->respond({attempt_->head.status, responseFields(), std::move(attempt_->body)});
+    session_->respond({attempt_->head.status, responseFields(), takeBody()});
     finish("answered", attempt_->head.status);
 }
 
@@ -536,7 +567,7 @@
         finish("broken", status);
         return;
     }
-    session_->respond({status, responseFields(), std::move(attempt_->body)});
+    session_->respond({status, responseFields(), takeBody()});
     finish("failed", status);
 }
 
@@ -656,6 +687,7 @@
     plane_.monitor.recordEnd(attempt_->endpoint.id);
     plane_.adjustRunning(attempt_->endpoint, route_->name, -1);
     plane_.pins.recordEnd(meta_.session, attempt_->endpoint.version, plane_.clock.now());
+    (void)takeBody();
     if (attempt_->connection->isReusable())
         plane_.pool.release(attempt_->endpoint, attempt_->connection);
     else
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -261,6 +261,37 @@
                 self.assertEqual(draft(number % 2, "b"), 200)
             self.assertLessEqual(crashes() - before, 3)
 
+    # Guards against workers whose answer is bytes without end, until the entry closes the connection.
+    def test_endless_answers_are_given_up_and_others_answer(self):
+        with Site(21) as site:
+            site.configure(1)
+            faults = {"x": "endless", "y": "endless-error"}
+            workers = [site.worker("i-1", "ledger", faults=faults), site.worker("i-2", "ledger"),
+                       site.worker("i-3", "llm", faults=faults), site.worker("i-4", "llm")]
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            site.wait_until_served("/calls/1")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            statuses = []
+
+            def call_all():
+                for _ in range(3):
+                    statuses.extend(site.request(path)[0] for path in ("/calls/x", "/calls/y"))
+                    statuses.extend(site.request(path, headers=fields)[0]
+                                    for path in ("/drafts/x", "/drafts/y"))
+
+            callers = [threading.Thread(target=call_all) for _ in range(8)]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+            self.assertEqual(set(statuses), {200})
+            self.assertEqual(len(statuses), 96)
+            # The smallest entry VMs of the users have 88 MB.
+            self.assertLess(site.peak_bytes(site.entries[0]), 88 << 20)
+            wait_until(lambda: all(worker.ended_connections == sum(
+                run[1][-1] in faults for run in worker.runs) for worker in (workers[0], workers[2])),
+                "each endless answer is given up")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -139,6 +139,7 @@
     core::CrashWatch crashWatch;
     EndpointPool pool;
     TrafficCounts counts;
+    std::size_t bufferedBytes = 0; // of answers that are forwarded when they are complete
     std::map<core::Refusal, std::uint64_t> refusals;
     RequestHistograms histograms;
 
--- a/core/event_stream.cpp
+++ b/core/event_stream.cpp
@@ -2,17 +2,18 @@
 
 #include "core/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace fireflyroute::core {
 
 namespace {
 
-// Returns the position after the blank line that ends the first event; npos if the event is
-// incomplete.
-std::size_t endOfEvent(std::string_view text)
+// Returns the position after the blank line that ends the first event and that begins at `from` or
+// later; npos if the event is incomplete.
+std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
-    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
          at = text.find('\n', at + 1)) {
         std::size_t next = at + 1;
         if (next < text.size() && text[next] == '\r')
@@ -49,18 +50,22 @@
 
 std::vector<StreamEvent> EventSplitter::push(std::string_view bytes)
 {
+    constexpr std::size_t kMaxTerminator = 3; // "\n\r\n"
     pending_ += bytes;
     std::vector<StreamEvent> events;
     std::string_view remaining = pending_;
-    for (std::size_t end = endOfEvent(remaining); end != std::string_view::npos;
-         end = endOfEvent(remaining)) {
+    for (std::size_t end = endOfEvent(remaining, searchFrom_); end != std::string_view::npos;
+         end = endOfEvent(remaining, searchFrom_)) {
         StreamEvent event;
         event.bytes = std::string(remaining.substr(0, end));
         event.id = parseEventId(event.bytes);
         events.push_back(std::move(event));
         remaining.remove_prefix(end);
+        searchFrom_ = 0;
     }
-    pending_ = std::string(remaining);
+    searchFrom_ = remaining.size() - std::min(remaining.size(), kMaxTerminator - 1);
+    if (!events.empty())
+        pending_ = std::string(remaining);
     return events;
 }
 
--- a/core/event_stream.h
+++ b/core/event_stream.h
@@ -34,14 +34,21 @@
 class EventSplitter
 {
 public:
-    // Appends bytes and returns the events that are now complete.
+    // Limit of one event. Larger ones are not the platform's, and a peer may send bytes without
+    // end.
+    static constexpr std::size_t kMaxEventBytes = 256U << 10U;
+
+    // Appends bytes and returns the events that are now complete. To be ended if isOversized().
     std::vector<StreamEvent> push(std::string_view bytes);
 
+    [[nodiscard]] bool isOversized() const { return pending_.size() > kMaxEventBytes; }
+
     // Returns whether the buffer contains an incomplete event.
     [[nodiscard]] bool hasIncompleteEvent() const { return !pending_.empty(); }
 
 private:
     std::string pending_; // incomplete event
+    std::size_t searchFrom_ = 0; // no event of pending_ ends before this position
 };
 
 // Relay: the next event in order, or an event without an id. Repeated: the caller already received
--- a/core/testing/event_stream_test.cpp
+++ b/core/testing/event_stream_test.cpp
@@ -32,6 +32,38 @@
     }
 }
 
+// Guards against a peer whose bytes never end: the incomplete event was kept without a limit and
+// searched again from its start with each read.
+BOOST_AUTO_TEST_CASE(event_without_end_becomes_oversized)
+{
+    EventSplitter splitter;
+    const std::string piece(16U << 10U, 'x');
+    std::size_t received = 0;
+    while (!splitter.isOversized()) {
+        BOOST_REQUIRE(received <= EventSplitter::kMaxEventBytes);
+        BOOST_TEST(splitter.push(piece).empty());
+        received += piece.size();
+    }
+    BOOST_TEST(splitter.push("\n\n").size() == 1U);
+    BOOST_TEST(!splitter.isOversized());
+}
+
+BOOST_AUTO_TEST_CASE(splitter_finds_events_that_arrive_byte_by_byte)
+{
+    const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    EventSplitter splitter;
+    std::string joined;
+    std::size_t count = 0;
+    for (const char byte : text) {
+        for (const StreamEvent &streamEvent : splitter.push(std::string_view(&byte, 1))) {
+            joined += streamEvent.bytes;
+            ++count;
+        }
+    }
+    BOOST_TEST(count == 3U);
+    BOOST_TEST(joined == text);
+}
+
 BOOST_AUTO_TEST_CASE(incomplete_event_is_buffered)
 {
     EventSplitter splitter;
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -200,6 +200,11 @@
                 continue;
         }
         if (consumed == 0 || bytes.empty()) {
+            // The parser limits heads and bodies, but not the line before a chunk.
+            if (bytes.size() > kMaxHeaderBytes) {
+                fail(ExchangeError::Malformed);
+                return;
+            }
             parser_->unparsed = std::string(bytes);
             return;
         }
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -135,6 +135,28 @@
     BOOST_TEST(exchange("b").body == "two");
 }
 
+// Guards against a peer whose bytes never end: what was received of a head or of the size of a
+// chunk was kept without a limit and searched again from its start with each read.
+BOOST_FIXTURE_TEST_CASE(endless_head_ends_the_exchange, HttpSessionFixture)
+{
+    connectTo(startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\nX: " + std::string(1U << 20U, 'x')},
+                                false));
+    const Outcome outcome = exchange("a");
+    BOOST_REQUIRE(outcome.failure);
+    BOOST_TEST((outcome.failure->error == ExchangeError::Malformed));
+}
+
+BOOST_FIXTURE_TEST_CASE(endless_chunk_size_ends_the_exchange, HttpSessionFixture)
+{
+    connectTo(
+            startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x="
+                               + std::string(1U << 20U, 'x')},
+                              false));
+    const Outcome outcome = exchange("a");
+    BOOST_REQUIRE(outcome.failure);
+    BOOST_TEST((outcome.failure->error == ExchangeError::Malformed));
+}
+
 BOOST_FIXTURE_TEST_CASE(surplus_bytes_make_the_connection_unusable, HttpSessionFixture)
 {
     connectTo(startScriptedPeer({response("a", "one") + "more"}, false));
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -46,6 +46,7 @@
         self.site, self.name, self.service, self.version = site, name, service, version
         self.faults, self.deadly_part = faults or {}, deadly_part
         self.crashes = 0
+        self.ended_connections = 0  # closed by the entry in the middle of an endless answer
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.runs = []  # (request id, path, headers) of each executed request
         worker = self
@@ -106,6 +107,10 @@
         if fault == "reset":
             request.connection.shutdown(socket.SHUT_RDWR)
             request.close_connection = True
+        elif fault == "endless":
+            self.send_endless(request, 200)
+        elif fault == "endless-error":
+            self.send_endless(request, 500)
         elif fault == "unsealed":
             self.reply(request, 200, {}, b"forged")
         elif "Fireflyroute-Model" in request.headers:
@@ -124,6 +129,21 @@
         request.end_headers()
         request.wfile.write(body)
 
+    def send_endless(self, request, status):
+        """Sends bytes of no meaning until the entry closes the connection."""
+        request.send_response(status)
+        for name, value in (("Fireflyroute-Request-Id",
+                             request.headers["Fireflyroute-Request-Id"]),
+                            ("Fireflyroute-Response-Seal", SEAL)):
+            request.send_header(name, value)
+        request.end_headers()
+        request.close_connection = True
+        try:
+            while True:
+                request.wfile.write(b"x" * 65536)
+        except OSError:
+            self.ended_connections += 1
+
     def stream(self, request, fault):
         request.send_response(200)
         confidence = {"small": "20", "large": "95"}[request.headers["Fireflyroute-Model"]]
@@ -208,6 +228,11 @@
         if signal_number == signal.SIGKILL:
             self.processes[ip].wait()
 
+    def peak_bytes(self, ip):
+        """Returns the largest amount of memory that the process has used."""
+        with open("/proc/%d/status" % self.processes[ip].pid, encoding="utf-8") as file:
+            return int(re.search(r"VmHWM:\s+(\d+) kB", file.read()).group(1)) * 1024
+
     def worker(self, name, service, **options):
         ip = "127.%d.3.%d" % (self.network, len(self.workers) + 1)
         new_worker = Worker(self, name, ip, service, **options)
