--- a/core/crash_watch.cpp
+++ b/core/crash_watch.cpp
@@ -14,6 +14,7 @@
                                    std::string_view body)
 {
     std::vector<RequestTrait> traits;
+    traits.reserve(std::max<std::size_t>(prompt.size(), 1));
     for (const PromptPart &part : prompt)
         traits.push_back(RequestTrait{part.id});
     if (traits.empty()) {
@@ -39,6 +40,7 @@
 std::string describe(const std::vector<QuarantinedTrait> &traits)
 {
     std::vector<RequestTrait> ids;
+    ids.reserve(traits.size());
     for (const QuarantinedTrait &quarantined : traits)
         ids.push_back(quarantined.trait);
     return describe(ids);
