Don't call a version healthy by comparison with slow ones

A faulty version was expected to fail twice as often, so that each of its answers that was not slow spoke for its health. Change: while more than 30 in 100 of the other answers fail or are slow, a version is not called healthy; it is rolled back if that lasts. Result: the new case of core.rollout_judge_test failed before (expanded at 12 s) and passes.

--- a/core/rollout_judge.cpp
+++ b/core/rollout_judge.cpp
@@ -15,6 +15,10 @@
 // counts for at most this fraction of the allowed duration.
 constexpr double kMaxInheritedFraction = 0.5;
 
+// Failure rate of the other versions above which their answers don't show how a healthy version
+// performs.
+constexpr double kMaxBaselineRate = 0.3;
+
 } // namespace
 
 void RolloutJudge::observe(const VmId &entry, const OutcomeReport &report, Instant /*now*/)
@@ -105,12 +109,17 @@
 
 bool RolloutJudge::isHealthy(const RolloutMonitor &monitor) const
 {
+    Counts allOthers;
     for (const auto &[route, counts] : monitor.target) {
-        if (counts.answers >= policy_.minAnswers
-            && evidenceAgainst(counts, othersOn(monitor, route)) > 0)
+        const Counts others = othersOn(monitor, route);
+        if (counts.answers >= policy_.minAnswers && evidenceAgainst(counts, others) > 0)
             return false;
+        allOthers.answers += others.answers;
+        allOthers.failures += others.failures;
     }
-    return evidenceAgainst(monitor) <= -policy_.healthThreshold;
+    const bool isComparable = static_cast<double>(allOthers.failures)
+                              <= kMaxBaselineRate * static_cast<double>(allOthers.answers);
+    return isComparable && evidenceAgainst(monitor) <= -policy_.healthThreshold;
 }
 
 std::uint64_t RolloutJudge::answersOf(const RolloutMonitor &monitor)
--- a/core/testing/rollout_judge_test.cpp
+++ b/core/testing/rollout_judge_test.cpp
@@ -150,6 +150,23 @@
     BOOST_TEST(stageOf(step(13s)) == "expanding");
 }
 
+// Guards against a slow version passing as healthy while nearly half of all other answers are slow
+// as well, so that its answers tell nothing. Found by a hunt on Vedeni, hunt-9dd8-27.
+BOOST_FIXTURE_TEST_CASE(version_is_not_healthy_by_comparison_with_slow_ones, Fixture)
+{
+    report("v1", "a", 206, 176);
+    report("v1", "b", 105, 105);
+    report("v2", "a", 40, 40);
+    report("v2", "b", 18, 18);
+    BOOST_TEST(stageOf(step(12s)) == "none");
+    BOOST_TEST(stageOf(step(13s)) == "rolled_back");
+    report("v1", "a", 500, 5);
+    report("v1", "b", 300, 3);
+    report("v2", "a", 150, 1);
+    report("v2", "b", 60, 1);
+    BOOST_TEST(stageOf(step(13s)) == "expanding");
+}
+
 // With little traffic evidence takes longer, and few requests are exposed.
 BOOST_FIXTURE_TEST_CASE(version_with_few_answers_stays_canary, Fixture)
 {
