Forget answers that clear no crash any more

Cause, by reading: the times of answers to watched traits were dropped only when no crash was left, so they would pile up on a site where endpoints crash at least once a minute. Change: an answer before the oldest crash that counts is dropped; it clears nothing. Result: no decision changes, so no test fails before; core.crash_attribution_test passes.

--- a/core/crash_attribution.cpp
+++ b/core/crash_attribution.cpp
@@ -71,10 +71,12 @@
     bool hasChanged = std::exchange(changed_, false);
     while (!crashes_.empty() && now - crashes_.front().at >= kCrashWindow)
         crashes_.pop_front();
-    if (crashes_.empty()) {
-        answeredAt_.clear();
+    if (crashes_.empty())
         answers_.clear();
-    }
+    // Answers before the oldest crash clear no trait of it.
+    std::erase_if(answeredAt_, [this](const auto &item) {
+        return crashes_.empty() || item.second < crashes_.front().at;
+    });
     hasChanged =
             std::erase_if(quarantinedUntil_, [now](const auto &item) { return item.second <= now; })
                     > 0
