--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -223,8 +223,7 @@
                         while link.recv(1 << 16):
                             pass
 
-    # Guards against prompts with one part that crashes workers being sent to one worker after another
-    # (issue 19, BUDGET).
+    # Guards against prompts with one part that crashes workers being sent to one worker after another.
     def test_prompt_part_that_crashes_workers_stops_reaching_them(self):
         with Site(20, entries=2) as site:
             site.configure(1)
