Count answers that are broken off by cause, and log what prevented a retry

Cause: the log line of a failed attempt said that the entry gives up, but not whether attempts or the retry budget were used up; the counter of interrupted answers had no cause. So the hypotheses of the requests without an answer could not be told apart. Change: fireflyroute_entry_interruptions_total by cause; attempts_left and begun in the attempt lines. Result: no decision changes.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -653,8 +653,8 @@
     attemptTracker_.recordOutcome(outcome);
     const core::RetryVerdict verdict =
             attemptTracker_.retryVerdict(route_->isIdempotent(), responseStarted_ && !isStream());
-    const bool isRetryable = verdict == core::RetryVerdict::Allowed
-                             && attemptTracker_.allowsAnother(route_->maxAttempts);
+    const bool hasAttemptsLeft = attemptTracker_.allowsAnother(route_->maxAttempts);
+    const bool isRetryable = verdict == core::RetryVerdict::Allowed && hasAttemptsLeft;
     const bool isAllowed =
             isRetryable && (!core::consumesRetryBudget(outcome) || plane_.tryRetry(service_, now));
     LogLine(plane_.log, LogKind::Attempt)
@@ -665,6 +665,8 @@
             .add("verdict", core::nameOf(verdict))
             .add("decision", isAllowed ? "again" : "give up")
             .add("attempts", attemptTracker_.attemptCount())
+            .add("attempts_left", hasAttemptsLeft ? "yes" : "no")
+            .add("begun", responseStarted_ ? "yes" : "no")
             .add("age_ms", core::toMillis(now - arrivedAt_));
     if (!isAllowed) {
         failRequest(cause);
@@ -700,6 +702,7 @@
 {
     if (responseStarted_) {
         ++plane_.counts.interrupted;
+        ++plane_.interruptions[std::string(cause)];
         session_->abort();
         finish(cause, 0);
         return;
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -293,6 +293,9 @@
     for (const auto &[refusal, count] : refusals)
         text += fmt::format("fireflyroute_entry_refusals_total{{reason=\"{}\"}} {}\n",
                             core::nameOf(refusal), count);
+    for (const auto &[cause, count] : interruptions)
+        text += fmt::format("fireflyroute_entry_interruptions_total{{cause=\"{}\"}} {}\n", cause,
+                            count);
     for (const auto &[route, ms] : typicalLatencyMs_)
         text += fmt::format("fireflyroute_entry_usual_latency_ms{{route=\"{}\"}} {:.1f}\n", route,
                             ms);
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -141,6 +141,7 @@
     TrafficCounts counts;
     std::size_t bufferedBytes = 0; // of answers that are forwarded when they are complete
     std::map<core::Refusal, std::uint64_t> refusals;
+    std::map<std::string, std::uint64_t> interruptions; // by cause; their sum is counts.interrupted
     RequestHistograms histograms;
 
 private:
