--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -291,6 +291,43 @@
                 run[1][-1] in faults for run in worker.runs) for worker in (workers[0], workers[2])),
                 "each endless answer is given up")
 
+    # Guards against streams that are broken off because their worker was silent for a moment while no
+    # other worker could take them over.
+    def test_silent_stream_goes_on_while_other_workers_are_full(self):
+        with Site(22) as site:
+            site.configure(1, draft_fields={"targetLatencyMs": 500, "targetGapMs": 600})
+            silent = site.worker("i-1", "llm", faults={"x": "pause"})
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10000,12",
+                      "Fireflyroute-Prompt-Prefix": "a:5000,b:5000"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            full = site.worker("i-2", "llm", faults={"x": "full"})
+            parts = itertools.count(1)
+            wait_until(lambda: site.request("/drafts/1", headers=dict(
+                fields, **{"Fireflyroute-Prompt-Prefix": "%x:9000,c:1000" % next(parts)}))
+                and full.runs, "both workers are used")
+            # The first worker has this prompt in its cache, so it is chosen.
+            status, _, body = site.request("/drafts/x", headers=fields)
+            self.assertEqual((status, body), (200, COMPLETE_STREAM))
+            self.assertEqual([run[2]["Fireflyroute-Model"] for run in silent.runs
+                              if run[1] == "/drafts/x"], ["small", "large"])
+
+    # Guards against streams that are broken off because every other worker was full at the moment at
+    # which theirs failed.
+    def test_interrupted_stream_resumes_once_another_worker_has_room(self):
+        with Site(23) as site:
+            site.configure(1)
+            faulty = site.worker("i-1", "llm", faults={"x": "break"})
+            others = [site.worker("i-%d" % number, "llm") for number in range(2, 5)]
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            for worker in others:
+                worker.full_until = time.monotonic() + 2.5
+            status, _, body = site.request("/drafts/x", headers=fields)
+            self.assertEqual((status, body), (200, COMPLETE_STREAM))
+            self.assertTrue(any(run[1] == "/drafts/x" for run in faulty.runs))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -47,6 +47,7 @@
         self.faults, self.deadly_part = faults or {}, deadly_part
         self.crashes = 0
         self.ended_connections = 0  # closed by the entry in the middle of an endless answer
+        self.full_until = 0  # rejects requests until this time of the monotonic clock
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.runs = []  # (request id, path, headers) of each executed request
         worker = self
@@ -94,7 +95,7 @@
             self.reply(request, 421, {"Fireflyroute-Instance-Id": self.name})
             return
         fault = self.faults.get(request.path.rsplit("/", 1)[-1])
-        if fault == "full":
+        if fault == "full" or time.monotonic() < self.full_until:
             self.reply(request, 503, {"Fireflyroute-Not-Executed": "1"})
             return
         self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
@@ -165,6 +166,8 @@
                     request.close_connection = True
                     return
                 request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                if fault == "pause" and number == 5:
+                    time.sleep(1.5)
                 time.sleep(0.45 if fault == "slow" else 0.01)
             request.wfile.write(b"0\r\n\r\n")
         except OSError:
@@ -274,7 +277,7 @@
         wait_until(try_control_vms, "a response to %s %s" % (method, path))
         return result[-1]
 
-    def configure(self, version, keys=("k1",), prefix="/calls/"):
+    def configure(self, version, keys=("k1",), prefix="/calls/", draft_fields=None):
         def route(name, path, kind, service, **more):
             return dict({"name": name, "host": "desk.example", "pathPrefix": path, "kind": kind,
                          "timeoutMs": 6000, "targetLatencyMs": 2000, "service": service,
@@ -286,7 +289,7 @@
                 route("lookup", prefix, "safe", "ledger"),
                 route("refund", "/refunds/", "unsafe", "ledger", maxAttempts=1),
                 route("draft", "/drafts/", "streaming", "llm", resumable=True, sticky=True,
-                      sizes=["small", "large"]),
+                      sizes=["small", "large"], **(draft_fields or {})),
             ],
             "services": [{"name": "ledger"},
                          {"name": "llm", "engine": {"stride": 1, "models": [
