Let a stream that has begun wait for an endpoint instead of giving it up

What callers saw: their connection was closed in the middle of a stream, with time left before their deadline. Cause: an entry decided once, at the moment at which an attempt failed, whether the request goes on. If then every other endpoint was full (four rejections), refused connections (nine), was in no state to be used, or if the retry budget was empty, it broke off what the caller had begun to receive, though each of these passes. It also left a silent endpoint when no other one could take the request. An error of the endpoint that was to continue a stream ended it as well. Change: core/sendings decides between retry, wait and give up. A stream of which the caller has a part waits 250 ms and tries one endpoint, within its deadline, its attempts and the retry budget. Endpoints that did not take the request are tried again, those that failed are not. Requests without a part of an answer are rejected at once as before. Ruled out: trying a second endpoint while the silent one still works (the request would run at both).

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -95,6 +95,7 @@
     void onEnd(net::ResponseEnd end);
     void onFailed(const net::ExchangeFailure &failure);
     void onTimer();
+    [[nodiscard]] bool hasAlternative(core::Instant now);
     void onCallerDisconnected();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
@@ -107,6 +108,11 @@
     void endAttempt();
     void failAttempt(core::AttemptOutcome outcome, std::string_view cause, bool isSevere);
     void retryOrFail(core::AttemptOutcome outcome, std::string_view cause);
+    [[nodiscard]] core::RetryVerdict retryVerdict() const;
+    [[nodiscard]] core::NextStep nextStep(core::RetryVerdict verdict, bool consumesBudget,
+                                          core::Instant now);
+    void retry();
+    void waitForEndpoint(bool consumesBudget);
     void retryOrForwardError();
     void finishStream();
     void recordEventInterval();
@@ -136,6 +142,8 @@
     core::Instant deadlineAt_;
     std::optional<Attempt> attempt_; // the running attempt
     std::set<core::EndpointId> excludedEndpoints_; // endpoints not to be tried again
+    // Those that did not take the request; they are tried again after a pause.
+    std::set<core::EndpointId> unavailableEndpoints_;
     core::EndpointId lastEndpoint_;
     core::StreamSplice streamSplice_;
     std::size_t model_ = 0; // index into route_->models
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -19,6 +19,9 @@
 // is routed again.
 constexpr std::chrono::milliseconds kStartupWaitLimit{1500};
 
+// Pause before a stream that no endpoint can continue now is tried again.
+constexpr std::chrono::milliseconds kResumePause{250};
+
 // Minimum time before the deadline for a new attempt.
 constexpr std::chrono::milliseconds kMinAttemptTime{10};
 
@@ -214,6 +217,8 @@
         send(pick, now);
     else if (attemptTracker_.hasNoAttempts() && plane_.isStarting(now))
         waitForStartup();
+    else if (responseStarted_)
+        waitForEndpoint(false);
     else
         failRequest("no endpoint usable");
 }
@@ -239,8 +244,10 @@
         query.match = &match;
     }
     const auto pick = [&] {
-        return plane_.picker.pick(plane_.candidates(service_, gate, excludedEndpoints_, now), query,
-                                  plane_.monitor, now);
+        const bool isContinued = responseStarted_ || !excludedEndpoints_.empty();
+        return plane_.picker.pick(
+                plane_.candidates(service_, gate, excludedEndpoints_, isContinued, now), query,
+                plane_.monitor, now);
     };
     const core::PickResult best = pick();
     if (best.endpoint || !gate.isCanary())
@@ -270,6 +277,7 @@
 {
     attemptTracker_.recordStart();
     const core::EndpointRecord &endpoint = *pick.endpoint;
+    lastEndpoint_ = endpoint.id;
     std::shared_ptr<net::EndpointConnection> connection = plane_.pool.acquire(endpoint);
     if (!connection) {
         excludedEndpoints_.insert(endpoint.id);
@@ -278,7 +286,6 @@
     }
     attempt_.emplace();
     attempt_->endpoint = endpoint;
-    lastEndpoint_ = endpoint.id;
     attempt_->connection = connection;
     attempt_->sentAt = now;
     attempt_->lastProgressAt = now;
@@ -550,6 +557,12 @@
         plane_.recordOutcome(attempt_->endpoint, route_->name, false, now - attempt_->sentAt);
         plane_.monitor.recordFailure(attempt_->endpoint.id, false, now);
     }
+    if (isServerError && responseStarted_) {
+        excludedEndpoints_.insert(attempt_->endpoint.id);
+        endAttempt();
+        retryOrFail(core::AttemptOutcome::Discarded, "error status");
+        return;
+    }
     const bool mayRetry = isServerError && route_->isIdempotent()
                           && attemptTracker_.allowsAnother(route_->maxAttempts)
                           && deadlineAt_ - now > proxy::kMinAttemptTime
@@ -651,32 +664,91 @@
 {
     const core::Instant now = plane_.clock.now();
     attemptTracker_.recordOutcome(outcome);
-    const core::RetryVerdict verdict =
-            attemptTracker_.retryVerdict(route_->isIdempotent(), responseStarted_ && !isStream());
+    const bool wasTaken =
+            outcome != core::AttemptOutcome::NotSent && outcome != core::AttemptOutcome::Rejected;
+    if (!wasTaken)
+        unavailableEndpoints_.insert(lastEndpoint_);
     const bool hasAttemptsLeft = attemptTracker_.allowsAnother(route_->maxAttempts);
-    const bool isRetryable = verdict == core::RetryVerdict::Allowed && hasAttemptsLeft;
-    const bool isAllowed =
-            isRetryable && (!core::consumesRetryBudget(outcome) || plane_.tryRetry(service_, now));
+    const bool consumesBudget = core::consumesRetryBudget(outcome);
+    const core::RetryVerdict verdict = retryVerdict();
+    const core::NextStep step = nextStep(verdict, consumesBudget, now);
     LogLine(plane_.log, LogKind::Attempt)
             .add("id", meta_.id.value())
             .add("endpoint", lastEndpoint_.value())
             .add("cause", cause)
             .add("end", core::nameOf(outcome))
             .add("verdict", core::nameOf(verdict))
-            .add("decision", isAllowed ? "again" : "give up")
+            .add("decision", core::nameOf(step))
             .add("attempts", attemptTracker_.attemptCount())
             .add("attempts_left", hasAttemptsLeft ? "yes" : "no")
             .add("begun", responseStarted_ ? "yes" : "no")
             .add("age_ms", core::toMillis(now - arrivedAt_));
-    if (!isAllowed) {
+    switch (step) {
+    case core::NextStep::Retry:
+        retry();
+        break;
+    case core::NextStep::Wait:
+        waitForEndpoint(consumesBudget);
+        break;
+    case core::NextStep::GiveUp:
         failRequest(cause);
-        return;
+        break;
     }
+}
+
+template<TrafficDialect Dialect>
+core::RetryVerdict ProxyRequest<Dialect>::retryVerdict() const
+{
+    return attemptTracker_.retryVerdict(route_->isIdempotent(), responseStarted_ && !isStream());
+}
+
+// Takes a retry from the budget if one is due and `consumesBudget` is set.
+template<TrafficDialect Dialect>
+core::NextStep ProxyRequest<Dialect>::nextStep(core::RetryVerdict verdict, bool consumesBudget,
+                                               core::Instant now)
+{
+    const auto step = [&](bool isAffordable) {
+        return attemptTracker_.nextStep(verdict, route_->maxAttempts, isAffordable,
+                                        responseStarted_ && isStream());
+    };
+    const bool isAffordable = step(true) != core::NextStep::Retry || !consumesBudget
+                              || plane_.tryRetry(service_, now);
+    return step(isAffordable);
+}
+
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::retry()
+{
     ++plane_.counts.retries;
     plane_.counts.resumed += responseStarted_ ? 1 : 0;
     startAttempt();
 }
 
+// Retries after a pause, or ends the request if its deadline has passed by then. Endpoints that did
+// not take the request may be tried again.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::waitForEndpoint(bool consumesBudget)
+{
+    ++plane_.counts.waits;
+    timer_.expires_after(
+            std::min<core::Duration>(proxy::kResumePause, deadlineAt_ - plane_.clock.now()));
+    timer_.async_wait([self = this->shared_from_this(),
+                       consumesBudget](const boost::system::error_code &error) {
+        if (error || self->finished_)
+            return;
+        self->attemptTracker_.recordPause();
+        for (const core::EndpointId &id : std::exchange(self->unavailableEndpoints_, {}))
+            self->excludedEndpoints_.erase(id);
+        const core::Instant now = self->plane_.clock.now();
+        if (self->deadlineAt_ - now < proxy::kMinAttemptTime)
+            self->failRequest("deadline");
+        else if (self->nextStep(self->retryVerdict(), consumesBudget, now) == core::NextStep::Retry)
+            self->retry();
+        else
+            self->waitForEndpoint(consumesBudget);
+    });
+}
+
 // Ends the exchange with the endpoint. Cancels it if it is still running.
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::endAttempt()
@@ -853,7 +925,7 @@
         return;
     }
     const bool isStalled = now >= stallDeadline();
-    if (isStalled && plane_.canRetry(service_, now)) {
+    if (isStalled && plane_.canRetry(service_, now) && hasAlternative(now)) {
         failAttempt(core::AttemptOutcome::Failed, "silent", true);
         return;
     }
@@ -863,6 +935,14 @@
     armTimer();
 }
 
+// Whether an endpoint other than the current one could take the request.
+template<TrafficDialect Dialect>
+bool ProxyRequest<Dialect>::hasAlternative(core::Instant now)
+{
+    excludedEndpoints_.insert(attempt_->endpoint.id);
+    return pickEndpoint(model_, now).endpoint != nullptr;
+}
+
 template<TrafficDialect Dialect>
 net::HttpFields ProxyRequest<Dialect>::responseFields() const
 {
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -103,18 +103,18 @@
 
 std::vector<const core::EndpointRecord *>
 TrafficPlane::candidates(const core::ServiceName &service, const core::VersionGate &gate,
-                         const std::set<core::EndpointId> &excluded, core::Instant now) const
+                         const std::set<core::EndpointId> &excluded, bool isContinued,
+                         core::Instant now) const
 {
     std::vector<const core::EndpointRecord *> usable;
     std::vector<const core::EndpointRecord *> suspected;
     const auto found = view->endpoints.find(service);
-    // A stream may outlast a stopping process, so no new one is started late. A stream that failed
-    // on another endpoint (`excluded`) may continue.
+    // A stream may outlast a stopping process, so no new one is started late.
     const core::Service *serviceConfig = view->table ? view->table->service(service) : nullptr;
     const bool isStream = serviceConfig && !serviceConfig->models.empty();
     const bool isStoppingSoon =
             refuseRequestsFrom && now >= *refuseRequestsFrom - kStreamStopMargin;
-    if (found == view->endpoints.end() || (isStream && isStoppingSoon && excluded.empty()))
+    if (found == view->endpoints.end() || (isStream && isStoppingSoon && !isContinued))
         return usable;
     for (const core::EndpointRecord &endpoint : found->second) {
         const bool isAllowed = endpoint.state == core::EndpointRecordState::Ready
@@ -286,6 +286,7 @@
     counter("attempts_total", counts.attempts);
     counter("retries_total", counts.retries);
     counter("resumed_total", counts.resumed);
+    counter("waits_total", counts.waits);
     counter("escalated_total", counts.escalated);
     counter("connections_opened_total", pool.opened());
     counter("connections_reused_total", pool.reused());
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -43,6 +43,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumed = 0; // streams continued on another endpoint
+    std::uint64_t waits = 0; // pauses of streams that no endpoint could continue
     std::uint64_t escalated = 0; // answers replaced by one of a larger model
 };
 
@@ -72,10 +73,12 @@
     void notifyChanged();
 
     // Returns the endpoints that are eligible for an attempt; those that the monitor considers
-    // unusable only if there are no others.
+    // unusable only if there are no others. `isContinued`: the request was sent to an endpoint
+    // before, so it may be sent again while the process stops.
     [[nodiscard]] std::vector<const core::EndpointRecord *>
     candidates(const core::ServiceName &service, const core::VersionGate &gate,
-               const std::set<core::EndpointId> &excluded, core::Instant now) const;
+               const std::set<core::EndpointId> &excluded, bool isContinued,
+               core::Instant now) const;
 
     void recordRequest(const core::ServiceName &service, core::Instant now);
     [[nodiscard]] bool tryRetry(const core::ServiceName &service, core::Instant now);
--- a/core/sendings.h
+++ b/core/sendings.h
@@ -3,8 +3,8 @@
 //   AttemptTracker attempts;
 //   attempts.recordStart();                        // the request may be sent from now on
 //   attempts.recordOutcome(AttemptOutcome::Failed);
-//   if (attempts.retryVerdict(isIdempotent, isAnswerStarted) == RetryVerdict::Allowed
-//       && attempts.allowsAnother(route.maxAttempts)) ...
+//   const RetryVerdict verdict = attempts.retryVerdict(isIdempotent, isAnswerStarted);
+//   switch (attempts.nextStep(verdict, route.maxAttempts, isAffordable, isStreamStarted)) ...
 
 #ifndef FIREFLYROUTE_CORE_SENDINGS_H
 #define FIREFLYROUTE_CORE_SENDINGS_H
@@ -13,6 +13,7 @@
 #include "core/retry_budget.h"
 #include "core/types.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
@@ -37,6 +38,23 @@
     };
 };
 
+// What follows an attempt that delivered no complete answer.
+enum class NextStep {
+    Retry, // at once
+    Wait, // and retry: no endpoint takes the request now, and the caller has a part of the answer
+    GiveUp,
+};
+
+template<>
+struct EnumNames<NextStep>
+{
+    static constexpr std::array table{
+            EnumName{NextStep::Retry, "again"},
+            EnumName{NextStep::Wait, "wait"},
+            EnumName{NextStep::GiveUp, "give up"},
+    };
+};
+
 // Whether an attempt after this outcome counts against the retry budget. A request that was never
 // sent causes no repeated work on endpoints, so it does not.
 [[nodiscard]] constexpr bool consumesRetryBudget(AttemptOutcome outcome)
@@ -107,6 +125,28 @@
         return mayRetry(failedAttempt);
     }
 
+    // The next step after a failed attempt. `isAffordable`: the retry budget allows another
+    // attempt. `isStreamStarted`: the caller has received a part of a stream, which another
+    // endpoint can continue. Such a request is not given up for a lack that may pass before its
+    // deadline.
+    [[nodiscard]] NextStep nextStep(RetryVerdict verdict, std::uint32_t maxAttempts,
+                                    bool isAffordable, bool isStreamStarted) const
+    {
+        if (verdict != RetryVerdict::Allowed || attemptCount_ >= maxAttempts)
+            return NextStep::GiveUp;
+        if (allowsAnother(maxAttempts) && isAffordable)
+            return NextStep::Retry;
+        return isStreamStarted ? NextStep::Wait : NextStep::GiveUp;
+    }
+
+    // Allows one more failed connection or rejection: after a pause an endpoint may accept the
+    // request.
+    void recordPause()
+    {
+        notSentCount_ = std::min(notSentCount_, kMaxNotSent);
+        rejectedCount_ = std::min(rejectedCount_, kMaxRejected);
+    }
+
 private:
     // Started attempts without those that are known not to have run.
     std::uint32_t attemptCount_ = 0;
--- a/core/testing/sendings_test.cpp
+++ b/core/testing/sendings_test.cpp
@@ -69,3 +69,47 @@
     BOOST_TEST((attemptTracker.ran() == Executed::Yes));
     BOOST_TEST(attemptTracker.attemptCount() == 3U);
 }
+
+// Guards against giving up a stream that has begun because every endpoint was full, refused
+// connections, or no retry could be afforded at the moment at which its endpoint failed.
+BOOST_AUTO_TEST_CASE(started_stream_waits_for_an_endpoint_instead_of_being_given_up)
+{
+    constexpr std::uint32_t kMaxAttempts = 3;
+    AttemptTracker attemptTracker;
+    const auto step = [&](bool isAffordable, bool isStreamStarted) {
+        return attemptTracker.nextStep(attemptTracker.retryVerdict(true, false), kMaxAttempts,
+                                       isAffordable, isStreamStarted);
+    };
+    recordAttempt(attemptTracker, AttemptOutcome::Failed);
+    BOOST_TEST((step(true, true) == NextStep::Retry));
+    BOOST_TEST((step(false, true) == NextStep::Wait));
+    BOOST_TEST((step(false, false) == NextStep::GiveUp));
+    for (std::uint32_t i = 0; i <= AttemptTracker::kMaxRejected; ++i)
+        recordAttempt(attemptTracker, AttemptOutcome::Rejected);
+    BOOST_TEST((step(true, true) == NextStep::Wait));
+    BOOST_TEST((step(true, false) == NextStep::GiveUp));
+
+    // After a pause one endpoint is tried, not a whole series of them.
+    attemptTracker.recordPause();
+    BOOST_TEST((step(true, true) == NextStep::Retry));
+    recordAttempt(attemptTracker, AttemptOutcome::Rejected);
+    BOOST_TEST((step(true, true) == NextStep::Wait));
+    attemptTracker.recordPause();
+    for (std::uint32_t i = 0; i <= AttemptTracker::kMaxNotSent; ++i)
+        recordAttempt(attemptTracker, AttemptOutcome::NotSent);
+    BOOST_TEST((step(true, true) == NextStep::Wait));
+
+    // Attempts that may have run are limited as before.
+    attemptTracker.recordPause();
+    recordAttempt(attemptTracker, AttemptOutcome::Failed);
+    recordAttempt(attemptTracker, AttemptOutcome::Failed);
+    BOOST_TEST((step(true, true) == NextStep::GiveUp));
+}
+
+BOOST_AUTO_TEST_CASE(started_stream_that_may_not_be_repeated_is_given_up)
+{
+    AttemptTracker attemptTracker;
+    recordAttempt(attemptTracker, AttemptOutcome::Failed);
+    BOOST_TEST((attemptTracker.nextStep(attemptTracker.retryVerdict(false, false), 3, true, true)
+                == NextStep::GiveUp));
+}
