Don't leave an endpoint for a silence of a second

What callers saw: streams broken off in the middle. Change: the time is 2 s at least. Until then the answer only is late, which it is by the gap objective already; callers wait for 2 s or longer.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -33,12 +33,13 @@
 // An idempotent request is retried on another endpoint if the current one makes no progress for the
 // longer of two times: the route's latency objective multiplied by the factor for streams or calls,
 // and the route's typical latency multiplied by kStallLatencyFactor. After the first event of a
-// stream, the time is the route's gap objective multiplied by kGapStallFactor.
+// stream, the time is the route's gap objective multiplied by kGapStallFactor, but at least
+// kMinGapTimeout: a healthy endpoint may pause for a second or so, and leaving it repeats its work.
 constexpr double kStreamStallObjectiveFactor = 1.3;
 constexpr double kCallStallObjectiveFactor = 0.75;
 constexpr double kStallLatencyFactor = 4;
 constexpr double kGapStallFactor = 1.5;
-constexpr std::chrono::milliseconds kDefaultGapTimeout{2000}; // for a route without a gap objective
+constexpr std::chrono::milliseconds kMinGapTimeout{2000};
 
 // Urgency values of the platform, where 5 is the default and 0 the most urgent, derived from the
 // rank.
@@ -907,9 +908,8 @@
         return std::max(typical, proxy::scaled(route_->latencyObjective,
                                                proxy::kStreamStallObjectiveFactor));
     }
-    if (route_->gapObjective == core::Duration::zero())
-        return proxy::kDefaultGapTimeout;
-    return proxy::scaled(route_->gapObjective, proxy::kGapStallFactor);
+    return std::max<core::Duration>(proxy::kMinGapTimeout,
+                                    proxy::scaled(route_->gapObjective, proxy::kGapStallFactor));
 }
 
 template<TrafficDialect Dialect>
