Don't let a stream that waits miss an endpoint

Cause, found in a review of the wait for endpoints: - The wait of an attempt's timer that had expired before the attempt failed (process frozen or starved) set the timer anew and so cancelled the pause: the stream slept until its deadline. - An endpoint that had failed once was excluded for good, also if no other one exists. - An endpoint that had been replaced at its address (421) was tried again after each pause. - Whether another endpoint could take the request was found out by excluding the current one. Change: the timer of an attempt does nothing without one; the endpoint that failed last is readmitted if no other one can become eligible; replaced endpoints stay excluded; the question changes nothing. A stream that ends with an error status of its next endpoint is counted like the others, and a wait for the start of the process does not route a request again that was sent.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -95,14 +95,16 @@
     void onEnd(net::ResponseEnd end);
     void onFailed(const net::ExchangeFailure &failure);
     void onTimer();
-    [[nodiscard]] bool hasAlternative(core::Instant now);
+    [[nodiscard]] bool hasAlternative(core::Instant now) const;
     void onCallerDisconnected();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
     [[nodiscard]] std::optional<std::size_t> escalationTarget();
     [[nodiscard]] core::ExpectedAnswer
     expectedAnswer(std::size_t model, const core::PickResult &pick, core::Instant now);
-    [[nodiscard]] core::PickResult pickEndpoint(std::size_t model, core::Instant now) const;
+    [[nodiscard]] core::PickResult pickEndpoint(std::size_t model,
+                                                const std::set<core::EndpointId> &excluded,
+                                                core::Instant now) const;
     void escalate(std::size_t largerModel);
     void handleNotExecuted();
     void endAttempt();
@@ -113,6 +115,7 @@
                                           core::Instant now);
     void retry();
     void waitForEndpoint(bool consumesBudget);
+    void waitForAnyEndpoint();
     void retryOrForwardError();
     void finishStream();
     void recordEventInterval();
@@ -144,6 +147,8 @@
     std::set<core::EndpointId> excludedEndpoints_; // endpoints not to be tried again
     // Those that did not take the request; they are tried again after a pause.
     std::set<core::EndpointId> unavailableEndpoints_;
+    std::optional<core::EndpointId>
+            failedEndpoint_; // the last one that took the request and failed
     core::EndpointId lastEndpoint_;
     core::StreamSplice streamSplice_;
     std::size_t model_ = 0; // index into route_->models
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -118,7 +118,7 @@
 {
     const auto retry = [weak = this->weak_from_this()] {
         const auto self = weak.lock();
-        if (self && !self->finished_ && !self->attempt_)
+        if (self && !self->finished_ && !self->attempt_ && self->attemptTracker_.hasNoAttempts())
             self->route();
     };
     plane_.onNextChange(retry);
@@ -213,20 +213,22 @@
             refuse(core::Refusal::Quarantined);
         return;
     }
-    const core::PickResult pick = pickEndpoint(model_, now);
+    const core::PickResult pick = pickEndpoint(model_, excludedEndpoints_, now);
     if (pick.endpoint)
         send(pick, now);
     else if (attemptTracker_.hasNoAttempts() && plane_.isStarting(now))
         waitForStartup();
     else if (responseStarted_)
-        waitForEndpoint(false);
+        waitForAnyEndpoint();
     else
         failRequest("no endpoint usable");
 }
 
 // Picks the best endpoint for an attempt with the model, among the endpoints that are eligible.
 template<TrafficDialect Dialect>
-core::PickResult ProxyRequest<Dialect>::pickEndpoint(std::size_t model, core::Instant now) const
+core::PickResult ProxyRequest<Dialect>::pickEndpoint(std::size_t model,
+                                                     const std::set<core::EndpointId> &excluded,
+                                                     core::Instant now) const
 {
     const auto rollout = plane_.view->rollouts.find(service_);
     const auto endpoints = plane_.view->endpoints.find(service_);
@@ -245,10 +247,9 @@
         query.match = &match;
     }
     const auto pick = [&] {
-        const bool isContinued = responseStarted_ || !excludedEndpoints_.empty();
-        return plane_.picker.pick(
-                plane_.candidates(service_, gate, excludedEndpoints_, isContinued, now), query,
-                plane_.monitor, now);
+        const bool isContinued = responseStarted_ || !excluded.empty();
+        return plane_.picker.pick(plane_.candidates(service_, gate, excluded, isContinued, now),
+                                  query, plane_.monitor, now);
     };
     const core::PickResult best = pick();
     if (best.endpoint || !gate.isCanary())
@@ -378,7 +379,7 @@
     const core::Instant now = plane_.clock.now();
     const std::uint32_t confidence = *attempt_->meta.confidence;
     const std::size_t next = plane_.models.nextModel(*route_, model_, confidence);
-    const core::PickResult pick = pickEndpoint(next, now);
+    const core::PickResult pick = pickEndpoint(next, excludedEndpoints_, now);
     const bool keepsAnswer = !pick.endpoint
                              || plane_.models.acceptsAnswer(*route_, model_, confidence,
                                                             expectedAnswer(next, pick, now));
@@ -441,6 +442,8 @@
     endAttempt();
     if (isWrongEndpoint)
         plane_.pool.closeIdle(id);
+    else
+        unavailableEndpoints_.insert(id);
     excludedEndpoints_.insert(id);
     retryOrFail(core::AttemptOutcome::Rejected,
                 isWrongEndpoint ? "another endpoint has the address" : "endpoint full");
@@ -577,8 +580,7 @@
         return;
     }
     if (responseStarted_) {
-        session_->abort();
-        finish("broken", status);
+        failRequest("error status");
         return;
     }
     session_->respond({status, responseFields(), takeBody()});
@@ -656,6 +658,8 @@
     else if (outcome == core::AttemptOutcome::Failed)
         plane_.recordInterruption(endpoint, route_->name, now);
     excludedEndpoints_.insert(endpoint.id);
+    if (outcome == core::AttemptOutcome::NotSent)
+        unavailableEndpoints_.insert(endpoint.id);
     endAttempt();
     retryOrFail(outcome, cause);
 }
@@ -667,8 +671,8 @@
     attemptTracker_.recordOutcome(outcome);
     const bool wasTaken =
             outcome != core::AttemptOutcome::NotSent && outcome != core::AttemptOutcome::Rejected;
-    if (!wasTaken)
-        unavailableEndpoints_.insert(lastEndpoint_);
+    if (wasTaken)
+        failedEndpoint_ = lastEndpoint_;
     const bool hasAttemptsLeft = attemptTracker_.allowsAnother(route_->maxAttempts);
     const bool consumesBudget = core::consumesRetryBudget(outcome);
     const core::RetryVerdict verdict = retryVerdict();
@@ -735,7 +739,7 @@
             std::min<core::Duration>(proxy::kResumePause, deadlineAt_ - plane_.clock.now()));
     timer_.async_wait([self = this->shared_from_this(),
                        consumesBudget](const boost::system::error_code &error) {
-        if (error || self->finished_)
+        if (error || self->finished_ || self->attempt_)
             return;
         self->attemptTracker_.recordPause();
         for (const core::EndpointId &id : std::exchange(self->unavailableEndpoints_, {}))
@@ -750,6 +754,16 @@
     });
 }
 
+// Called if no endpoint is eligible. Readmits the one that failed last, unless others become
+// eligible after the pause.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::waitForAnyEndpoint()
+{
+    if (failedEndpoint_ && unavailableEndpoints_.empty())
+        excludedEndpoints_.erase(*failedEndpoint_);
+    waitForEndpoint(false);
+}
+
 // Ends the exchange with the endpoint. Cancels it if it is still running.
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::endAttempt()
@@ -880,7 +894,8 @@
     timer_.expires_after(
             std::max(core::Duration::zero(), std::min(deadlineAt_, stallDeadline()) - now));
     timer_.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
-        if (!error && !self->finished_)
+        // The wait may have expired before the attempt that it belongs to ended.
+        if (!error && !self->finished_ && self->attempt_)
             self->onTimer();
     });
 }
@@ -917,10 +932,8 @@
 {
     const core::Instant now = plane_.clock.now();
     if (now >= deadlineAt_) {
-        if (attempt_) {
-            attemptTracker_.recordOutcome(core::AttemptOutcome::Failed);
-            endAttempt();
-        }
+        attemptTracker_.recordOutcome(core::AttemptOutcome::Failed);
+        endAttempt();
         failRequest("deadline");
         return;
     }
@@ -937,10 +950,11 @@
 
 // Whether an endpoint other than the current one could take the request.
 template<TrafficDialect Dialect>
-bool ProxyRequest<Dialect>::hasAlternative(core::Instant now)
+bool ProxyRequest<Dialect>::hasAlternative(core::Instant now) const
 {
-    excludedEndpoints_.insert(attempt_->endpoint.id);
-    return pickEndpoint(model_, now).endpoint != nullptr;
+    std::set<core::EndpointId> excluded = excludedEndpoints_;
+    excluded.insert(attempt_->endpoint.id);
+    return pickEndpoint(model_, excluded, now).endpoint != nullptr;
 }
 
 template<TrafficDialect Dialect>
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -1,6 +1,7 @@
 """Process tests of a site on the users' platform: control VMs and an entry over loopback, with
 stand-ins for workers and the operator."""
 
+import http.client
 import itertools
 import json
 import os
@@ -328,6 +329,51 @@
             self.assertEqual((status, body), (200, COMPLETE_STREAM))
             self.assertTrue(any(run[1] == "/drafts/x" for run in faulty.runs))
 
+    # Guards against a stream that waits for an endpoint without end although the only one that failed
+    # is in order again.
+    def test_interrupted_stream_resumes_on_the_only_worker(self):
+        with Site(24) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "llm", faults={"x": "break-once"})
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            status, _, body = site.request("/drafts/x", headers=fields)
+            self.assertEqual((status, body), (200, COMPLETE_STREAM))
+            self.assertEqual(worker.faults, {})
+
+    # Guards against a stream that never continues because the timer of its failed attempt, expired
+    # while the process was stopped, replaces the timer of the next one.
+    def test_stream_interrupted_while_the_entry_is_frozen_resumes(self):
+        with Site(25) as site:
+            site.configure(1, draft_fields={"targetLatencyMs": 500})
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            workers = [site.worker("i-%d" % number, "llm", faults={"x": "break-late"})
+                       for number in (1, 2)]
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            responses = []
+
+            def draft():
+                try:
+                    responses.append(site.request("/drafts/x", headers=fields))
+                except http.client.IncompleteRead as error:
+                    responses.append(error)
+
+            caller = threading.Thread(target=draft)
+            caller.start()
+            wait_until(lambda: any(run[1] == "/drafts/x" and run[2]["Fireflyroute-Model"] == "large"
+                                   for worker in workers for run in worker.runs),
+                       "the large model's answer begins")
+            time.sleep(0.2)
+            site.kill(site.entries[0], signal.SIGSTOP)
+            time.sleep(1.5)
+            site.kill(site.entries[0], signal.SIGCONT)
+            for worker in workers:
+                worker.faults = {}
+            caller.join()
+            self.assertEqual(responses[0][0:3:2], (200, COMPLETE_STREAM))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -160,7 +160,11 @@
         try:
             for number in range(first, EVENT_COUNT + 1):
                 event = b"id: %d\ndata: token-%d\n\n" % (number, number)
-                if fault == "break" and number == 5:
+                if fault == "break-late" and number == 5:
+                    time.sleep(1)
+                if fault in ("break", "break-late", "break-once") and number == 5:
+                    if fault == "break-once":
+                        self.faults = {}
                     request.wfile.write(b"%x\r\n%s" % (len(event), event[:7]))
                     request.connection.shutdown(socket.SHUT_RDWR)
                     request.close_connection = True
