Apply the idle limit in force, and never close on an unread request

What callers see: beside a change of the configuration that raises the idle limit, connections were closed by the old one though callers may reuse them by the new one; and a request that had arrived while the process was busy or stopped got neither an answer nor a refusal, as its connection was reset. Cause: the idle timer kept the limit of the moment at which it was set; its handler closed the connection without looking for bytes that had arrived, and ran also if it had expired just before the timer was set anew. Change: the limit is read when the time is over; unread bytes are read first; a handler whose timer was set again does nothing.

--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -74,6 +74,7 @@
 void ServerSession::start()
 {
     configureSocket(socket_);
+    idleSince_ = std::chrono::steady_clock::now();
     armTimer(group_->limits.idleTimeout);
     awaitReadable();
 }
@@ -255,6 +256,7 @@
     requestActive_ = false;
     if (!open_ || closeAfterWrite_)
         return;
+    idleSince_ = std::chrono::steady_clock::now();
     armTimer(group_->limits.idleTimeout);
     if (input_.empty()) {
         awaitReadable();
@@ -331,16 +333,38 @@
         const std::shared_ptr<ServerSession> self = weak.lock();
         if (error || !self || self->requestActive_ || !self->open_)
             return;
-        const bool isRequestIncomplete = self->parser_->requestStarted && !self->closeAfterWrite_;
-        if (!isRequestIncomplete) {
-            self->close();
-            return;
-        }
-        self->reject(kStatusRequestTimeout);
-        self->armTimer(kErrorResponseTimeout);
+        // The wait may have expired before the timer was set again.
+        if (self->timer_.expiry() <= std::chrono::steady_clock::now())
+            self->onTimeout();
     });
 }
 
+void ServerSession::onTimeout()
+{
+    if (closeAfterWrite_) {
+        close();
+        return;
+    }
+    if (parser_->requestStarted) {
+        reject(kStatusRequestTimeout);
+        armTimer(kErrorResponseTimeout);
+        return;
+    }
+    // The limit may have been raised since the timer was set.
+    const auto remaining =
+            idleSince_ + group_->limits.idleTimeout - std::chrono::steady_clock::now();
+    if (remaining > std::chrono::steady_clock::duration::zero()) {
+        armTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
+        return;
+    }
+    // Closing with an unread request would reset the connection. The pending wait reads it.
+    error_code ignored;
+    if (socket_.available(ignored) > 0)
+        armTimer(group_->limits.headerTimeout);
+    else
+        close();
+}
+
 Result<std::shared_ptr<SessionGroup>> acceptSessions(asio::io_context &io,
                                                      const std::string &address,
                                                      const SessionLimits &limits,
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -103,6 +103,7 @@
     void writeNext();
     void close();
     void armTimer(std::chrono::milliseconds timeout);
+    void onTimeout();
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
@@ -110,6 +111,7 @@
     ReadableWait readableWait_;
     std::unique_ptr<Parser> parser_;
     std::string input_; // received bytes that are not parsed yet
+    std::chrono::steady_clock::time_point idleSince_{}; // start, or end of the last response
     std::deque<std::string> output_; // the first element is being written
     std::size_t unsentBytes_ = 0; // sum of the sizes in output_
     std::function<void()> disconnectHandler_;
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -105,10 +105,46 @@
         connection = std::make_shared<EndpointConnection>(io, parseAddress(address).value());
     }
 
+    // Starts a server that answers each request with 200. Returns its address.
+    std::string startServer(const SessionLimits &limits)
+    {
+        tcp::acceptor portReservation(io, tcp::endpoint(tcp::v4(), 0));
+        const std::string address =
+                "127.0.0.1:" + std::to_string(portReservation.local_endpoint().port());
+        portReservation.close();
+        auto accepted = acceptSessions(
+                io, address, limits,
+                [](const std::shared_ptr<ServerSession> &session, const HttpRequestMessage &) {
+                    session->respond({200, {}, "ok"});
+                });
+        BOOST_REQUIRE(accepted);
+        group = accepted.value();
+        return address;
+    }
+
+    unsigned statusOfRequest(tcp::socket &caller)
+    {
+        boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        return statusOfResponse(caller);
+    }
+
+    // Returns the status of the next response, or 0 if the server ended the connection.
+    unsigned statusOfResponse(tcp::socket &caller)
+    {
+        std::string received;
+        std::optional<boost::system::error_code> result;
+        boost::asio::async_read_until(
+                caller, boost::asio::dynamic_buffer(received), "\r\n\r\n",
+                [&](const boost::system::error_code &error, std::size_t) { result = error; });
+        runUntil([&] { return result.has_value(); });
+        return *result ? 0 : static_cast<unsigned>(std::stoul(received.substr(9, 3)));
+    }
+
     boost::asio::io_context scriptIo;
     boost::asio::io_context io;
     std::thread scriptThread;
     std::shared_ptr<EndpointConnection> connection;
+    std::shared_ptr<SessionGroup> group; // of startServer()
 };
 
 std::string response(const std::string &responseId, const std::string &body)
@@ -268,3 +304,39 @@
     activeSession.reset();
     BOOST_TEST(group.value()->sessions.empty());
 }
+
+// Guards against connections closed by an idle limit that is no longer in force, although callers
+// may use them for as long as the limit in force allows.
+BOOST_FIXTURE_TEST_CASE(raised_idle_limit_applies_to_open_connections, HttpSessionFixture)
+{
+    SessionLimits limits;
+    limits.idleTimeout = 200ms;
+    const std::string address = startServer(limits);
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    runUntil([&] { return !group->sessions.empty(); });
+    group->limits.idleTimeout = 5000ms;
+    io.restart();
+    io.run_for(600ms);
+    BOOST_TEST(!group->sessions.empty());
+    BOOST_TEST(statusOfRequest(caller) == 200U);
+}
+
+// Guards against a request that is neither answered nor rejected because it arrived while the
+// process was stopped for longer than the idle limit.
+BOOST_FIXTURE_TEST_CASE(unread_request_is_answered_after_the_idle_limit, HttpSessionFixture)
+{
+    SessionLimits limits;
+    limits.idleTimeout = 200ms;
+    const std::string address = startServer(limits);
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    runUntil([&] { return !group->sessions.empty(); });
+    // The request arrives when the process has already found out that both timers have expired.
+    boost::asio::steady_timer earlierTimer(io, 0ms);
+    earlierTimer.async_wait([&](const boost::system::error_code &) {
+        boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    });
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(statusOfResponse(caller) == 200U);
+}
