Connections to endpoints by way of a relay

Cause: an entry that is partitioned from the endpoints can't serve, though clients and other entries reach it. EndpointConnection takes a relay; what fails there is RelayFailed, with no byte of the request sent.

--- a/net/address.cpp
+++ b/net/address.cpp
@@ -23,6 +23,11 @@
     return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
+std::string formatAddress(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
 std::string hostOf(const std::string &address)
 {
     return address.substr(0, address.rfind(':'));
--- a/net/address.h
+++ b/net/address.h
@@ -12,6 +12,9 @@
 
 [[nodiscard]] Result<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &address);
 
+// The inverse of parseAddress.
+[[nodiscard]] std::string formatAddress(const boost::asio::ip::tcp::endpoint &endpoint);
+
 // Returns the host of "HOST:PORT", or the complete text if it contains no port.
 [[nodiscard]] std::string hostOf(const std::string &address);
 
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -2,7 +2,10 @@
 
 #include "net/endpoint_connection.h"
 
+#include "net/address.h"
+
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -67,10 +70,12 @@
     bool headHandled = false;
 };
 
-EndpointConnection::EndpointConnection(asio::io_context &io, tcp::endpoint peer)
+EndpointConnection::EndpointConnection(asio::io_context &io, tcp::endpoint peer,
+                                       std::optional<tcp::endpoint> relay)
     : socket_(io)
     , timer_(io)
     , peer_(std::move(peer))
+    , relay_(std::move(relay))
     , keepAliveTimeout_(kDefaultKeepAliveTimeout)
 {}
 
@@ -95,25 +100,75 @@
 
 void EndpointConnection::connect(std::chrono::milliseconds timeout)
 {
-    timer_.expires_after(timeout);
-    timer_.async_wait([self = shared_from_this()](const error_code &error) {
-        if (!error && !self->connected_ && self->exchangeActive_)
-            self->fail(ExchangeError::ConnectTimeout);
-    });
-    socket_.async_connect(peer_, [self = shared_from_this()](const error_code &error) {
+    armConnectTimer(timeout);
+    socket_.async_connect(relay_ ? *relay_ : peer_, [self = shared_from_this(),
+                                                     timeout](const error_code &error) {
         if (!self->exchangeActive_ || !self->open_)
             return;
-        self->timer_.cancel();
         if (error) {
-            self->fail(ExchangeError::ConnectFailed);
+            self->fail(self->relay_ ? ExchangeError::RelayFailed : ExchangeError::ConnectFailed);
             return;
         }
         configureSocket(self->socket_);
-        self->connected_ = true;
-        self->write();
+        if (self->relay_) {
+            self->armConnectTimer(timeout);
+            self->requestTunnel();
+        } else {
+            self->onConnected();
+        }
+    });
+}
+
+void EndpointConnection::armConnectTimer(std::chrono::milliseconds timeout)
+{
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && !self->connected_ && self->exchangeActive_)
+            self->fail(self->relay_ ? ExchangeError::RelayFailed : ExchangeError::ConnectTimeout);
     });
 }
 
+void EndpointConnection::requestTunnel()
+{
+    tunnelRequest_ = encodeTunnelRequest(formatAddress(peer_));
+    asio::async_write(socket_, asio::buffer(tunnelRequest_),
+                      [self = shared_from_this()](const error_code &, std::size_t) {
+                          // The read below reports a failure.
+                      });
+    asio::async_read(socket_, asio::buffer(&tunnelAnswer_, 1),
+                     [self = shared_from_this()](const error_code &error, std::size_t) {
+                         if (!self->exchangeActive_ || !self->open_)
+                             return;
+                         if (error)
+                             self->fail(ExchangeError::RelayFailed);
+                         else
+                             self->onTunnelAnswer(self->tunnelAnswer_);
+                     });
+}
+
+void EndpointConnection::onTunnelAnswer(char answer)
+{
+    const std::optional<TunnelStatus> status = decodeTunnelStatus(answer);
+    if (status == TunnelStatus::Opened) {
+        onConnected();
+        return;
+    }
+    relayAnswer_ = status;
+    if (status == TunnelStatus::Refused)
+        fail(ExchangeError::ConnectFailed);
+    else if (status == TunnelStatus::TimedOut)
+        fail(ExchangeError::ConnectTimeout);
+    else
+        fail(ExchangeError::RelayFailed);
+}
+
+void EndpointConnection::onConnected()
+{
+    timer_.cancel();
+    connected_ = true;
+    write();
+}
+
 void EndpointConnection::write()
 {
     requestSent_ = true;
@@ -275,7 +330,7 @@
 {
     exchangeActive_ = false;
     const std::shared_ptr<const ExchangeHandlers> handlers = std::exchange(handlers_, nullptr);
-    const ExchangeFailure failure{error, requestSent_};
+    const ExchangeFailure failure{error, requestSent_, relayAnswer_};
     close();
     handlers->onFailure(failure);
 }
--- a/net/endpoint_connection.h
+++ b/net/endpoint_connection.h
@@ -4,6 +4,9 @@
 //   auto connection = std::make_shared<EndpointConnection>(io, endpoint);
 //   connection->send(bytes, handlers, connectTimeout);
 //
+// With a relay the connection takes the way through a tunnel (net/tunnel.h). No byte of a request
+// leaves before the relay has connected to the endpoint.
+//
 // Between requests the connection closes when the peer closes it or sends unexpected bytes.
 // Informational (1xx) responses are skipped, and so are responses to other requests, for whose head
 // `matchesRequest` returns false.
@@ -14,6 +17,7 @@
 #include "core/enum_names.h"
 #include "net/http_message.h"
 #include "net/socket_steps.h"
+#include "net/tunnel.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -22,13 +26,15 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace fireflyroute::net {
 
-// Reason why an exchange ended without a complete response.
-enum class ExchangeError { ConnectFailed, ConnectTimeout, Reset, Closed, Malformed };
+// Reason why an exchange ended without a complete response. RelayFailed says nothing about the
+// endpoint; ConnectFailed and ConnectTimeout may have been observed by a relay.
+enum class ExchangeError { ConnectFailed, ConnectTimeout, Reset, Closed, Malformed, RelayFailed };
 
 // How the end of a response was delimited: by its length or chunk framing, or by the end of the
 // connection.
@@ -47,6 +53,7 @@
             EnumName{net::ExchangeError::Reset, "reset"},
             EnumName{net::ExchangeError::Closed, "closed"},
             EnumName{net::ExchangeError::Malformed, "malformed"},
+            EnumName{net::ExchangeError::RelayFailed, "relay_failed"},
     };
 };
 
@@ -58,6 +65,7 @@
 {
     ExchangeError error = ExchangeError::Closed;
     bool mayHaveReachedPeer = true; // false: no byte of the request was passed to the kernel
+    std::optional<TunnelStatus> relayAnswer = std::nullopt; // why the relay opened no tunnel
 };
 
 // Events of an exchange. No handler is called after `onComplete` or `onFailure`.
@@ -73,12 +81,14 @@
 class EndpointConnection : public std::enable_shared_from_this<EndpointConnection>
 {
 public:
-    EndpointConnection(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint peer);
+    EndpointConnection(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint peer,
+                       std::optional<boost::asio::ip::tcp::endpoint> relay = std::nullopt);
     ~EndpointConnection();
     EndpointConnection(const EndpointConnection &) = delete;
     EndpointConnection &operator=(const EndpointConnection &) = delete;
 
-    // Sends a request. Connects first if the connection is not established yet.
+    // Sends a request. Connects first if the connection is not established yet. The time limit
+    // holds for each hop.
     void send(std::string bytes, ExchangeHandlers handlers,
               std::chrono::milliseconds connectTimeout);
 
@@ -88,6 +98,11 @@
     // Whether another request can be sent now.
     [[nodiscard]] bool isReusable() const { return reusable_ && open_ && !exchangeActive_; }
 
+    // Whether a request was sent on it before or is being sent.
+    [[nodiscard]] bool isConnected() const { return connected_; }
+
+    [[nodiscard]] bool isRelayed() const { return relay_.has_value(); }
+
     // Start of the current idle period, and the idle time-out of the endpoint.
     [[nodiscard]] std::chrono::steady_clock::time_point idleSince() const { return idleSince_; }
     [[nodiscard]] std::chrono::seconds keepAliveTimeout() const { return keepAliveTimeout_; }
@@ -96,6 +111,10 @@
     struct Parser;
 
     void connect(std::chrono::milliseconds timeout);
+    void armConnectTimer(std::chrono::milliseconds timeout);
+    void requestTunnel();
+    void onTunnelAnswer(char answer);
+    void onConnected();
     void write();
     void awaitReadable();
     void onReadable();
@@ -110,6 +129,10 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::asio::ip::tcp::endpoint peer_;
+    std::optional<boost::asio::ip::tcp::endpoint> relay_; // connects to peer_ on our behalf
+    std::string tunnelRequest_; // in transmission
+    char tunnelAnswer_ = 0; // valid once received
+    std::optional<TunnelStatus> relayAnswer_; // set if it is not Opened
     std::string request_; // request in transmission
     // Set while exchangeActive_ is true. Shared, so that a handler that ends the exchange stays
     // valid while it runs.
@@ -119,7 +142,7 @@
     std::chrono::steady_clock::time_point idleSince_{};
     std::chrono::seconds keepAliveTimeout_; // idle time-out of the endpoint
     int skippedResponses_ = 0; // during this exchange
-    bool connected_ = false;
+    bool connected_ = false; // to the endpoint
     bool open_ = true;
     bool exchangeActive_ = false;
     bool writing_ = false;
