Interface of relaying: lists of relays, isolation in probes, relay port

Cause: an entry that is partitioned from all endpoints fails its callers, though other entries still reach the endpoints. It is to connect to them through other entries. The codec's new fields stand at the end, so the order of the others stays. Result: net.site_codec_test passes with the new case isolation_and_relays_round_trip.

--- a/app/site_control.h
+++ b/app/site_control.h
@@ -93,6 +93,7 @@
     void handleMessage(Peer & /*peer*/, const core::StateAnnouncement & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::QuarantineState & /*message*/) {}
+    void handleMessage(Peer & /*peer*/, const core::RelayList & /*message*/) {}
 
     // State and links.
     void apply(const std::string &payload);
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -79,7 +79,7 @@
             LogLine(log_, LogKind::Link).add("event", "regained").add("peer", vm.value());
             link.send(
                     net::encodeMessage(core::Handshake{settings_.vm, true, settings_.dataCentre}));
-            link.send(net::encodeMessage(core::FreshnessProbe{nonce_}));
+            link.send(net::encodeMessage(core::FreshnessProbe{nonce_, isolated_}));
         };
         handlers.onFrame = [this, vm](net::FrameLink &, std::string_view frame) {
             onFrame(vm, frame);
@@ -99,7 +99,7 @@
 {
     const core::Instant now = clock_.now();
     freshness_.probeSent(++nonce_, now);
-    const std::string bytes = net::encodeMessage(core::FreshnessProbe{nonce_});
+    const std::string bytes = net::encodeMessage(core::FreshnessProbe{nonce_, isolated_});
     for (auto &[vm, peer] : controlPeers_) {
         // A large message may take longer than the timeout to arrive.
         const std::uint64_t receivedTotal = peer.link->receivedTotal();
@@ -247,6 +247,14 @@
         publishView();
 }
 
+void SiteEntry::handleMessage(const core::VmId & /*vm*/, const core::RelayList &message)
+{
+    if (message.relays == relays_)
+        return;
+    relays_ = message.relays;
+    outputs_.relaysChanged(relays_);
+}
+
 void SiteEntry::publishView()
 {
     auto view = std::make_shared<core::SiteView>();
@@ -286,6 +294,12 @@
                        [](const auto &rollout) { return !rollout.second.isFinal(); });
 }
 
+void SiteEntry::setIsolated(bool isolated)
+{
+    if (std::exchange(isolated_, isolated) != isolated)
+        sendProbes();
+}
+
 void SiteEntry::sendToLeader(const core::SiteMessage &report)
 {
     const auto leader = controlPeers_.find(leader_);
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -29,6 +29,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fireflyroute::app {
 
@@ -42,6 +43,7 @@
     std::function<void(core::WorkReport)> peerWorkReported;
     std::function<void(core::EntryUpdate)> peerUpdatesReceived;
     std::function<void(core::QuarantineState)> quarantineChanged;
+    std::function<void(std::vector<core::VmId>)> relaysChanged; // best first
 };
 
 class SiteEntry
@@ -58,6 +60,10 @@
     // Whether the entry has a configuration and fresh state.
     [[nodiscard]] bool isReady() const;
 
+    // Sets whether the entry has lost its path to the endpoints. A change is reported to the
+    // control VMs at once, and again with each probe.
+    void setIsolated(bool isolated);
+
     // Sends a report to the leader. Drops it if no leader is known.
     void sendToLeader(const core::SiteMessage &report);
 
@@ -92,6 +98,7 @@
     {
         outputs_.quarantineChanged(message);
     }
+    void handleMessage(const core::VmId &vm, const core::RelayList &message);
     template<typename Other>
     void handleMessage(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
@@ -117,6 +124,8 @@
     core::ConfigFreshness freshness_;
     core::StateFetcher fetcher_;
     std::uint64_t nonce_ = 0;
+    bool isolated_ = false;
+    std::vector<core::VmId> relays_; // of the last RelayList; kept while no leader is known
     bool wasFresh_ = false; // freshness last logged
     std::uint64_t stateUpdates_ = 0; // received
     std::uint64_t stateBytes_ = 0; // size of the received state updates
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -163,6 +163,7 @@
                 plane_.crashWatch.apply(state, clock_.now());
             });
         };
+        outputs.relaysChanged = [](const std::vector<core::VmId> &) {};
         return outputs;
     }
 
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -20,6 +20,9 @@
 DEFINE_string(site_control, "", "Site: IP:PORT for operators and endpoints; control VMs only");
 DEFINE_string(site_metrics, "", "Site: IP:PORT for /metrics; empty disables it");
 DEFINE_uint32(site_link_port, 7340, "Site: port for links between processes; the same on all VMs");
+DEFINE_uint32(site_relay_port, 0,
+              "Site: port on which entries relay connections to endpoints; the same on all VMs; 0 "
+              "disables it");
 DEFINE_string(site_seeds, "", "Site: comma-separated control addresses of some control VMs");
 DEFINE_bool(site_first_start, false,
             "Site: first start of the site; the seeds create the control group");
@@ -130,6 +133,7 @@
     BOOST_OUTCOME_TRY(metrics, readAddress("site_metrics", FLAGS_site_metrics, false));
     settings.metricsAddress = std::move(metrics);
     settings.linkPort = static_cast<std::uint16_t>(FLAGS_site_link_port);
+    settings.relayPort = static_cast<std::uint16_t>(FLAGS_site_relay_port);
     for (const std::string &seed : splitList(FLAGS_site_seeds)) {
         BOOST_OUTCOME_TRY(address, readAddress("site_seeds", seed, true));
         settings.seeds.push_back(std::move(address));
@@ -150,6 +154,11 @@
     return fmt::format("{}:{}", other.value(), linkPort);
 }
 
+std::string SiteSettings::relayAddress(const core::VmId &other) const
+{
+    return fmt::format("{}:{}", other.value(), relayPort);
+}
+
 std::vector<core::VmId> SiteSettings::seedVms() const
 {
     std::vector<core::VmId> vms;
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -30,6 +30,7 @@
     std::string controlAddress; // control VMs only
     std::string metricsAddress;
     std::uint16_t linkPort = 0; // for links between fireflyroute processes; the same on all VMs
+    std::uint16_t relayPort = 0; // on which entries relay; the same on all VMs; 0 disables it
     std::vector<std::string> seeds; // control addresses
     bool firstStart = false;
     std::filesystem::path dataFolder; // control VMs only
@@ -45,6 +46,7 @@
     double canaryShare = 0; // share of a service's requests that may go to a canary version
 
     [[nodiscard]] std::string linkAddress(const core::VmId &vm) const;
+    [[nodiscard]] std::string relayAddress(const core::VmId &vm) const;
     [[nodiscard]] std::vector<core::VmId> seedVms() const;
 };
 
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -25,6 +25,7 @@
 struct FreshnessProbe
 {
     std::uint64_t nonce = 0; // returned in the reply
+    bool isolated = false; // the entry has lost its path to the endpoints
 };
 
 struct FreshnessReply
@@ -190,10 +191,21 @@
     }
 };
 
+constexpr std::size_t kMaxRelays = 8; // of one RelayList
+
+// From the leader to an entry, after the handshake and after each change: entries through which it
+// may connect to endpoints while it is isolated, best first.
+struct RelayList
+{
+    std::vector<VmId> relays; // at most kMaxRelays
+
+    bool operator==(const RelayList &) const = default;
+};
+
 using SiteMessage =
         std::variant<Handshake, FreshnessProbe, FreshnessReply, StateUpdate, EndpointUpdate,
                      OutcomeReport, WorkReport, ReplicaMessage, EntryUpdate, StateAnnouncement,
-                     StateRequest, CrashReport, QuarantineState>;
+                     StateRequest, CrashReport, QuarantineState, RelayList>;
 
 } // namespace fireflyroute::core
 
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -177,7 +177,7 @@
 template<class Archive>
 void serialize(Archive &archive, FreshnessProbe &message)
 {
-    archive(message.nonce);
+    archive(message.nonce, message.isolated);
 }
 
 template<class Archive>
@@ -295,6 +295,12 @@
     archive(message.watched, message.quarantined);
 }
 
+template<class Archive>
+void serialize(Archive &archive, RelayList &message)
+{
+    archive(message.relays);
+}
+
 } // namespace cereal
 
 namespace fireflyroute::net {
--- a/net/site_codec.h
+++ b/net/site_codec.h
@@ -1,7 +1,7 @@
 // Binary encoding of the messages between the processes of a site, of the commands in their log,
 // and of their snapshots. Both ends run the same version of the program.
 //
-//   link.send(encodeMessage(core::FreshnessProbe{1, 7}));
+//   link.send(encodeMessage(core::FreshnessProbe{7}));
 //   Result<core::SiteMessage> message = decodeMessage(frame);
 
 #ifndef FIREFLYROUTE_NET_SITE_CODEC_H
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -104,6 +104,18 @@
     BOOST_TEST((std::get<core::QuarantineState>(readState.value()) == state));
 }
 
+BOOST_AUTO_TEST_CASE(isolation_and_relays_round_trip)
+{
+    const auto probe = net::decodeMessage(net::encodeMessage(core::FreshnessProbe{7, true}));
+    BOOST_REQUIRE(probe);
+    BOOST_TEST(std::get<core::FreshnessProbe>(probe.value()).nonce == 7U);
+    BOOST_TEST(std::get<core::FreshnessProbe>(probe.value()).isolated);
+    const core::RelayList list{{core::VmId("10.0.0.7"), core::VmId("10.0.0.2")}};
+    const auto read = net::decodeMessage(net::encodeMessage(list));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((std::get<core::RelayList>(read.value()) == list));
+}
+
 BOOST_AUTO_TEST_CASE(announcements_and_requests_of_the_state_round_trip)
 {
     const auto announcement =
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -214,7 +214,7 @@
             flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip))
         else:
             flags.update(site_callers=ip + ":8227", site_readiness=ip + ":8220",
-                         site_metrics=ip + ":9464")
+                         site_metrics=ip + ":9464", site_relay_port="7355")
         path = os.path.join(self.folder, ip + ".flags")
         with open(path, "w", encoding="utf-8") as file:
             file.writelines("--%s=%s\n" % item for item in flags.items())
