Choose the relays of each entry

Cause: an isolated entry has to know which entries may connect to endpoints for it, and none of them may be isolated too. Change: core/relay_directory, without I/O: from connections and probes of the entries it chooses up to eight relays for each, own data centre first, then own region, then all others, each class ordered by a rendezvous hash of both entries; it tells whose lists changed. Reports expire, but not during a pause of the process. The hash of endpoint_pick moves to core/stable_hash.h, unchanged. Result: core.relay_directory_test passes, as do endpoint_pick_test and endpoint_choice_test.

--- a/core/endpoint_pick.cpp
+++ b/core/endpoint_pick.cpp
@@ -2,6 +2,8 @@
 
 #include "core/endpoint_pick.h"
 
+#include "core/stable_hash.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -10,23 +12,6 @@
 
 namespace {
 
-constexpr std::uint64_t mixBits(std::uint64_t value)
-{
-    value ^= value >> 33U;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33U;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33U);
-}
-
-std::uint64_t hashText(const std::string &text)
-{
-    std::uint64_t hash = 0;
-    for (const char c : text)
-        hash = mixBits(hash ^ static_cast<unsigned char>(c));
-    return hash;
-}
-
 // Minimum cached fraction of the shared tokens. Below it, the cache contents of endpoints do not
 // indicate where other requests with the same shared parts were sent.
 constexpr double kMinCachedFraction = 0.5;
