Serve by way of relays while an entry is isolated

Cause: partitioned from all endpoints, an entry in touch failed all its requests for as long as it lasted. Change: app/endpoint_path chooses the way of each connection: direct, or through a relay while core/path_monitor finds the path lost. Requests on direct connections that nothing was sent on, or that are idempotent and without an answer while all endpoints are silent, continue at once through a relay. Failures of a relay or of the lost path count against no endpoint. Once a second one idempotent request tries the direct path first. An entry serves tunnels on the relay port, except while it is isolated or stopping; it waits for open tunnels before it exits. Without path and relay it is not ready for four seconds after the last failure; then requests have to show whether the path is back.

--- a/app/endpoint_pool.cpp
+++ b/app/endpoint_pool.cpp
@@ -5,6 +5,7 @@
 #include "net/address.h"
 
 #include <chrono>
+#include <optional>
 
 namespace fireflyroute::app {
 
@@ -25,9 +26,10 @@
 
 } // namespace
 
-std::shared_ptr<net::EndpointConnection> EndpointPool::acquire(const core::EndpointRecord &endpoint)
+std::shared_ptr<net::EndpointConnection> EndpointPool::takeIdle(const core::EndpointId &id,
+                                                                ConnectionPath path)
 {
-    Connections &idle = idle_[endpoint.id];
+    Connections &idle = idle_[{id, path}];
     while (!idle.empty()) {
         std::shared_ptr<net::EndpointConnection> connection = std::move(idle.back());
         idle.pop_back();
@@ -37,17 +39,30 @@
         }
         connection->cancel();
     }
+    return nullptr;
+}
+
+std::shared_ptr<net::EndpointConnection> EndpointPool::open(const core::EndpointRecord &endpoint,
+                                                            const std::string &relay)
+{
     const auto address = net::parseAddress(endpoint.address);
     if (!address)
         return nullptr;
+    std::optional<boost::asio::ip::tcp::endpoint> relayAddress;
+    if (!relay.empty()) {
+        const auto parsed = net::parseAddress(relay);
+        if (!parsed)
+            return nullptr;
+        relayAddress = parsed.value();
+    }
     ++opened_;
-    return std::make_shared<net::EndpointConnection>(io_, address.value());
+    return std::make_shared<net::EndpointConnection>(io_, address.value(), relayAddress);
 }
 
 void EndpointPool::release(const core::EndpointRecord &endpoint,
                            const std::shared_ptr<net::EndpointConnection> &connection)
 {
-    Connections &idle = idle_[endpoint.id];
+    Connections &idle = idle_[{endpoint.id, pathOf(*connection)}];
     if (connection->isReusable() && idle.size() < kMaxIdlePerEndpoint)
         idle.push_back(connection);
     else
@@ -56,7 +71,13 @@
 
 void EndpointPool::closeIdle(const core::EndpointId &id)
 {
-    const auto found = idle_.find(id);
+    closeIdle(id, ConnectionPath::Direct);
+    closeIdle(id, ConnectionPath::Relayed);
+}
+
+void EndpointPool::closeIdle(const core::EndpointId &id, ConnectionPath path)
+{
+    const auto found = idle_.find({id, path});
     if (found == idle_.end())
         return;
     for (const auto &connection : found->second)
@@ -64,6 +85,17 @@
     idle_.erase(found);
 }
 
+void EndpointPool::closeAll(ConnectionPath path)
+{
+    std::erase_if(idle_, [path](const auto &entry) {
+        if (entry.first.second != path)
+            return false;
+        for (const auto &connection : entry.second)
+            connection->cancel();
+        return true;
+    });
+}
+
 void EndpointPool::closeExpired()
 {
     for (auto it = idle_.begin(); it != idle_.end();) {
--- a/app/endpoint_pool.h
+++ b/app/endpoint_pool.h
@@ -9,10 +9,14 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace fireflyroute::app {
 
+enum class ConnectionPath { Direct, Relayed };
+
 class EndpointPool
 {
 public:
@@ -20,33 +24,48 @@
         : io_(io)
     {}
 
-    // Returns the most recently used idle connection to the endpoint, or a new one. Null if the
-    // endpoint's address is invalid.
+    // Takes the most recently used idle connection to the endpoint. Null if there is none.
+    [[nodiscard]] std::shared_ptr<net::EndpointConnection> takeIdle(const core::EndpointId &id,
+                                                                    ConnectionPath path);
+
+    // Returns a new connection to the endpoint, through the relay at "IP:PORT" if it is not empty.
+    // Null if an address is invalid.
     [[nodiscard]] std::shared_ptr<net::EndpointConnection>
-    acquire(const core::EndpointRecord &endpoint);
+    open(const core::EndpointRecord &endpoint, const std::string &relay);
 
     // Returns a connection to the pool after a complete answer. Closes it if it is not reusable or
     // if enough connections are idle.
     void release(const core::EndpointRecord &endpoint,
                  const std::shared_ptr<net::EndpointConnection> &connection);
 
-    // Closes the idle connections to an endpoint. Called after one connection failed, since the
-    // others may have failed too, and after the endpoint was removed or replaced.
+    // Closes the idle connections to an endpoint. Called after the endpoint was removed or
+    // replaced.
     void closeIdle(const core::EndpointId &id);
 
+    // Closes those that take the same path as a connection that failed: they may have failed too.
+    void closeIdle(const core::EndpointId &id, ConnectionPath path);
+
+    // Closes all idle connections that take the path.
+    void closeAll(ConnectionPath path);
+
     // Closes connections whose keep-alive timeout is about to expire.
     void closeExpired();
 
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
     [[nodiscard]] std::uint64_t reused() const { return reused_; }
 
+    [[nodiscard]] static ConnectionPath pathOf(const net::EndpointConnection &connection)
+    {
+        return connection.isRelayed() ? ConnectionPath::Relayed : ConnectionPath::Direct;
+    }
+
 private:
     using Connections = std::vector<std::shared_ptr<net::EndpointConnection>>;
 
     boost::asio::io_context &io_;
     // The most recently used connection is last. All connections of one list belong to the same
     // incarnation of the endpoint.
-    std::map<core::EndpointId, Connections> idle_;
+    std::map<std::pair<core::EndpointId, ConnectionPath>, Connections> idle_;
     std::uint64_t opened_ = 0;
     std::uint64_t reused_ = 0;
 };
--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -58,7 +58,7 @@
     {
         core::EndpointRecord endpoint;
         std::uint32_t prefillTokens = 0; // prompt tokens that the endpoint has to process first
-        std::shared_ptr<net::EndpointConnection> connection;
+        EndpointExchange exchange;
         core::AnswerMeta meta;
         net::HttpResponseHead head;
         std::string body; // of an answer that is forwarded when complete
@@ -96,6 +96,7 @@
     void onFailed(const net::ExchangeFailure &failure);
     void onTimer();
     void onCallerDisconnected();
+    void onPathLost();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
     [[nodiscard]] std::optional<std::size_t> escalationTarget();
@@ -106,6 +107,8 @@
     void handleNotExecuted();
     void endAttempt();
     void failAttempt(core::AttemptOutcome outcome, std::string_view cause, bool isSevere);
+    // Ends an attempt that failed through no fault of the endpoint.
+    void failAttemptOnPath(core::AttemptOutcome outcome, std::string_view cause);
     void retryOrFail(core::AttemptOutcome outcome, std::string_view cause);
     void retryOrForwardError();
     void finishStream();
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -12,9 +12,6 @@
 
 namespace proxy {
 
-// Connecting takes one round trip, 24 ms between regions, and 200 ms more if a packet is lost.
-constexpr std::chrono::milliseconds kConnectTimeout{600};
-
 // How long a request waits for a change of the entry's state, while the process starts, before it
 // is routed again.
 constexpr std::chrono::milliseconds kStartupWaitLimit{1500};
@@ -35,6 +32,7 @@
 constexpr double kCallStallObjectiveFactor = 0.75;
 constexpr double kStallLatencyFactor = 4;
 constexpr double kGapStallFactor = 1.5;
+constexpr std::chrono::milliseconds kProbeStallTimeout{800}; // of the direct path while isolated
 constexpr std::chrono::milliseconds kDefaultGapTimeout{2000}; // for a route without a gap objective
 
 // Urgency values of the platform, where 5 is the default and 0 the most urgent, derived from the
@@ -270,8 +268,16 @@
 {
     attemptTracker_.recordStart();
     const core::EndpointRecord &endpoint = *pick.endpoint;
-    std::shared_ptr<net::EndpointConnection> connection = plane_.pool.acquire(endpoint);
-    if (!connection) {
+    const bool mayProbe = route_->isIdempotent() && attemptTracker_.attemptCount() == 1
+                          && attemptTracker_.allowsAnother(route_->maxAttempts)
+                          && plane_.canRetry(service_, now);
+    const auto onPathLost = [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onPathLost();
+    };
+    std::optional<EndpointExchange> exchange =
+            plane_.path.start(endpoint, mayProbe, onPathLost, now);
+    if (!exchange) {
         excludedEndpoints_.insert(endpoint.id);
         retryOrFail(core::AttemptOutcome::NotSent, "bad address");
         return;
@@ -279,7 +285,7 @@
     attempt_.emplace();
     attempt_->endpoint = endpoint;
     lastEndpoint_ = endpoint.id;
-    attempt_->connection = connection;
+    attempt_->exchange = *exchange;
     attempt_->sentAt = now;
     attempt_->lastProgressAt = now;
     ++plane_.counts.attempts;
@@ -291,8 +297,8 @@
     plane_.pins.recordStart(meta_.session, endpoint.version, now);
     const core::Dispatch dispatch = makeDispatch(endpoint, now);
     armTimer();
-    connection->send(net::encodeRequest(Dialect::encodeDispatch(request_, dispatch)), handlers(),
-                     proxy::kConnectTimeout);
+    exchange->connection->send(net::encodeRequest(Dialect::encodeDispatch(request_, dispatch)),
+                               handlers(), exchange->connectTimeout);
 }
 
 template<TrafficDialect Dialect>
@@ -335,6 +341,7 @@
     attempt_->meta = Dialect::decodeAnswer(head);
     attempt_->hasHead = true;
     attempt_->lastProgressAt = now;
+    plane_.path.recordBytes(attempt_->exchange, now);
     plane_.monitor.recordPrefillDone(attempt_->endpoint.id, attempt_->prefillTokens);
     if (attempt_->meta.load)
         plane_.monitor.recordLoad(attempt_->endpoint.id, *attempt_->meta.load, now);
@@ -442,6 +449,7 @@
 void ProxyRequest<Dialect>::onBody(std::string_view piece)
 {
     attempt_->lastProgressAt = plane_.clock.now();
+    plane_.path.recordBytes(attempt_->exchange, attempt_->lastProgressAt);
     const bool isStreamed = isStream() && attempt_->head.status < proxy::kFirstNonSuccessStatus;
     if (isStreamed) {
         onEvents(piece);
@@ -613,10 +621,21 @@
         handleNotExecuted();
         return;
     }
-    const bool isSevere = !failure.mayHaveReachedPeer;
+    const core::AttemptOutcome outcome = failure.mayHaveReachedPeer ? core::AttemptOutcome::Failed
+                                                                    : core::AttemptOutcome::NotSent;
+    const bool isEndpointAtFault = plane_.path.recordFailure(
+            attempt_->exchange, attempt_->endpoint.id, failure, plane_.clock.now());
     // Other idle connections to the endpoint may have failed with this one.
-    if (!attempt_->hasHead)
-        plane_.pool.closeIdle(attempt_->endpoint.id);
+    if (!attempt_->hasHead && failure.error != net::ExchangeError::RelayFailed)
+        plane_.pool.closeIdle(attempt_->endpoint.id,
+                              EndpointPool::pathOf(*attempt_->exchange.connection));
+    if (!isEndpointAtFault) {
+        // The relay's view may be newer than this entry's.
+        if (failure.relayAnswer == net::TunnelStatus::NotAllowed)
+            excludedEndpoints_.insert(attempt_->endpoint.id);
+        failAttemptOnPath(outcome, core::nameOf(failure.error));
+        return;
+    }
     if (failure.error == net::ExchangeError::ConnectFailed)
         plane_.monitor.recordConnectionRefusal(attempt_->endpoint.id);
     const bool mayHaveCrashed = failure.mayHaveReachedPeer && !attempt_->hasEvent
@@ -625,9 +644,33 @@
         plane_.crashWatch.recordCrash(
                 {attempt_->endpoint.id, attempt_->endpoint.startedAtMs, service_, traits()});
     }
-    failAttempt(failure.mayHaveReachedPeer ? core::AttemptOutcome::Failed
-                                           : core::AttemptOutcome::NotSent,
-                core::nameOf(failure.error), isSevere);
+    failAttempt(outcome, core::nameOf(failure.error), !failure.mayHaveReachedPeer);
+}
+
+// The path of the running attempt is lost. Continues on a relayed connection what is safe to send
+// again.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::onPathLost()
+{
+    if (!attempt_ || finished_)
+        return;
+    if (!attempt_->exchange.connection->isConnected()) {
+        failAttemptOnPath(core::AttemptOutcome::NotSent, "path lost");
+        return;
+    }
+    const bool mayRetry = plane_.path.state() == core::PathState::Silent && !attempt_->hasHead
+                          && route_->isIdempotent()
+                          && attemptTracker_.allowsAnother(route_->maxAttempts)
+                          && plane_.canRetry(service_, plane_.clock.now());
+    if (mayRetry)
+        failAttemptOnPath(core::AttemptOutcome::Failed, "path lost");
+}
+
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::failAttemptOnPath(core::AttemptOutcome outcome, std::string_view cause)
+{
+    endAttempt();
+    retryOrFail(outcome, cause);
 }
 
 template<TrafficDialect Dialect>
@@ -636,6 +679,11 @@
 {
     const core::Instant now = plane_.clock.now();
     const core::EndpointRecord endpoint = attempt_->endpoint;
+    if (outcome == core::AttemptOutcome::Failed
+        && !plane_.path.mayBlameEndpoint(attempt_->exchange, now)) {
+        failAttemptOnPath(outcome, cause);
+        return;
+    }
     plane_.monitor.recordFailure(endpoint.id, isSevere, now);
     if (outcome == core::AttemptOutcome::Discarded)
         plane_.recordOutcome(endpoint, route_->name, false, now - attempt_->sentAt);
@@ -688,10 +736,12 @@
     plane_.adjustRunning(attempt_->endpoint, route_->name, -1);
     plane_.pins.recordEnd(meta_.session, attempt_->endpoint.version, plane_.clock.now());
     (void)takeBody();
-    if (attempt_->connection->isReusable())
-        plane_.pool.release(attempt_->endpoint, attempt_->connection);
+    plane_.path.end(attempt_->exchange);
+    const std::shared_ptr<net::EndpointConnection> &connection = attempt_->exchange.connection;
+    if (connection->isReusable())
+        plane_.pool.release(attempt_->endpoint, connection);
     else
-        attempt_->connection->cancel();
+        connection->cancel();
     attempt_.reset();
 }
 
@@ -822,6 +872,8 @@
 template<TrafficDialect Dialect>
 core::Duration ProxyRequest<Dialect>::stallTimeout() const
 {
+    if (attempt_->exchange.isProbe && !attempt_->hasHead)
+        return proxy::kProbeStallTimeout;
     const core::Duration typical =
             proxy::scaled(plane_.typicalLatency(route_->name), proxy::kStallLatencyFactor);
     if (!isStream()) {
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -74,6 +74,7 @@
         , outcomeTimer_(io)
         , expiryTimer_(trafficIo_)
         , workTimer_(trafficIo_)
+        , pathTimer_(trafficIo_)
         , stopTimer_(io)
     {}
 
@@ -89,13 +90,14 @@
         if (!callers)
             return fromNet(callers.error());
         callerSessions_ = callers.value();
-        const auto readiness =
-                net::acceptSessions(io_, settings_.readinessAddress, net::SessionLimits{},
-                                    [this](const std::shared_ptr<net::ServerSession> &session,
-                                           const net::HttpRequestMessage &request) {
-                                        session->respond(Dialect::answerReadiness(
-                                                request, !stopping_ && entry_.isReady()));
-                                    });
+        BOOST_OUTCOME_TRYV(acceptRelaying());
+        const auto readiness = net::acceptSessions(
+                io_, settings_.readinessAddress, net::SessionLimits{},
+                [this](const std::shared_ptr<net::ServerSession> &session,
+                       const net::HttpRequestMessage &request) {
+                    session->respond(Dialect::answerReadiness(
+                            request, !stopping_ && hasPath_ && entry_.isReady()));
+                });
         if (!readiness)
             return fromNet(readiness.error());
         BOOST_OUTCOME_TRYV(serveMetrics(io_, settings_.metricsAddress, [this](const auto &done) {
@@ -106,7 +108,11 @@
             });
         }));
         entry_.start();
+        plane_.path.isolationChanged = [this](bool isolated) {
+            boost::asio::post(io_, [this, isolated] { entry_.setIsolated(isolated); });
+        };
         expirePeriodically();
+        checkPath(true);
         reportOutcomes();
         reportWork();
         trafficThread_ = std::thread([this] { trafficIo_.run(); });
@@ -163,10 +169,42 @@
                 plane_.crashWatch.apply(state, clock_.now());
             });
         };
-        outputs.relaysChanged = [](const std::vector<core::VmId> &) {};
+        outputs.relaysChanged = [this](std::vector<core::VmId> relays) {
+            boost::asio::post(trafficIo_, [this, relays = std::move(relays)] {
+                plane_.path.setRelays(relays);
+            });
+        };
         return outputs;
     }
 
+    // Serves other entries as a relay.
+    Result<void> acceptRelaying()
+    {
+        if (settings_.relayPort == 0)
+            return core::outcome::success();
+        const auto tunnels = net::acceptTunnels(
+                trafficIo_, settings_.relayAddress(settings_.vm),
+                [this](const std::string &address) { return plane_.admitTunnel(address); });
+        if (!tunnels)
+            return fromNet(tunnels.error());
+        plane_.tunnels = tunnels.value();
+        return core::outcome::success();
+    }
+
+    // Periodically checks the path to the endpoints. `hadPath`: result of the last check.
+    void checkPath(bool hadPath)
+    {
+        pathTimer_.expires_after(core::PathMonitor::kCheckInterval);
+        pathTimer_.async_wait([this, hadPath](const boost::system::error_code &) {
+            const core::Instant now = clock_.now();
+            plane_.path.check(now);
+            const bool hasPath = plane_.path.isUsable(now);
+            if (hasPath != hadPath)
+                boost::asio::post(io_, [this, hasPath] { hasPath_ = hasPath; });
+            checkPath(hasPath);
+        });
+    }
+
     // Periodically reports this entry's dispatched work, session versions, processed prompts,
     // refused connections and crashes to the leader, which shares them or its conclusions with the
     // other entries.
@@ -232,7 +270,8 @@
                 >= settings_.gracePeriod;
         boost::asio::post(trafficIo_, [this, isGracePeriodOver] {
             net::drainSessions(*callerSessions_);
-            const bool isIdle = net::countBusySessions(*callerSessions_) == 0;
+            const bool isRelaying = plane_.tunnels && plane_.tunnels->active != 0;
+            const bool isIdle = net::countBusySessions(*callerSessions_) == 0 && !isRelaying;
             if (isIdle || isGracePeriodOver)
                 boost::asio::post(io_, [this] { io_.stop(); });
         });
@@ -251,7 +290,9 @@
     boost::asio::steady_timer outcomeTimer_;
     boost::asio::steady_timer expiryTimer_; // traffic thread
     boost::asio::steady_timer workTimer_; // traffic thread
+    boost::asio::steady_timer pathTimer_; // traffic thread
     boost::asio::steady_timer stopTimer_;
+    bool hasPath_ = true; // to the endpoints, direct or through a relay
     bool stopping_ = false;
     core::Instant stopRequestedAt_;
     std::thread trafficThread_;
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -63,6 +63,7 @@
     , picker(siteSettings.dataCentre, siteSettings.regions)
     , pins(siteSettings.sessionTtl, siteSettings.canaryShare)
     , pool(ioContext)
+    , path(pool, settings, structuredLog)
     , startedAt_(clock.now())
 {}
 
@@ -85,10 +86,14 @@
 void TrafficPlane::setView(std::shared_ptr<const core::SiteView> next)
 {
     std::set<core::EndpointId> remaining;
+    endpointAddresses_.clear();
     for (const auto &[service, endpoints] : next->endpoints) {
-        for (const core::EndpointRecord &endpoint : endpoints)
+        for (const core::EndpointRecord &endpoint : endpoints) {
             remaining.insert(endpoint.id);
+            endpointAddresses_.insert(endpoint.address);
+        }
     }
+    path.setEndpointCount(remaining.size());
     for (const auto &[service, endpoints] : view->endpoints) {
         for (const core::EndpointRecord &endpoint : endpoints) {
             const bool isRemoved = !remaining.contains(endpoint.id);
@@ -266,6 +271,16 @@
     monitor.applyConnectionRefusals(updates.refusingEndpoints, now);
 }
 
+net::TunnelStatus TrafficPlane::admitTunnel(const std::string &address) const
+{
+    if (refuseRequestsFrom)
+        return net::TunnelStatus::Full;
+    if (path.state() != core::PathState::Sound)
+        return net::TunnelStatus::Isolated;
+    return endpointAddresses_.contains(address) ? net::TunnelStatus::Opened
+                                                : net::TunnelStatus::NotAllowed;
+}
+
 void TrafficPlane::expireIdle()
 {
     pool.closeExpired();
@@ -290,6 +305,13 @@
     counter("connections_opened_total", pool.opened());
     counter("connections_reused_total", pool.reused());
     counter("revision", view->revision);
+    text += path.metrics();
+    if (tunnels) {
+        counter("tunnels", tunnels->active);
+        for (const auto &[status, count] : tunnels->answers)
+            text += fmt::format("fireflyroute_entry_tunnel_answers_total{{status=\"{}\"}} {}\n",
+                                core::nameOf(status), count);
+    }
     for (const auto &[refusal, count] : refusals)
         text += fmt::format("fireflyroute_entry_refusals_total{{reason=\"{}\"}} {}\n",
                             core::nameOf(refusal), count);
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -5,7 +5,7 @@
 #ifndef FIREFLYROUTE_APP_TRAFFIC_PLANE_H
 #define FIREFLYROUTE_APP_TRAFFIC_PLANE_H
 
-#include "app/endpoint_pool.h"
+#include "app/endpoint_path.h"
 #include "app/request_histograms.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
@@ -120,6 +120,9 @@
     // Applies the observations of other entries.
     void applyUpdates(const core::EntryUpdate &updates);
 
+    // Whether another entry may open a tunnel to the address through this one.
+    [[nodiscard]] net::TunnelStatus admitTunnel(const std::string &address) const;
+
     void expireIdle(); // called once a second for connections and sessions
 
     [[nodiscard]] std::string metrics() const;
@@ -138,6 +141,8 @@
     core::PromptIndex prompts;
     core::CrashWatch crashWatch;
     EndpointPool pool;
+    EndpointPath path;
+    std::shared_ptr<const net::TunnelGroup> tunnels; // to endpoints for other entries; may be null
     TrafficCounts counts;
     std::size_t bufferedBytes = 0; // of answers that are forwarded when they are complete
     std::map<core::Refusal, std::uint64_t> refusals;
@@ -156,6 +161,7 @@
     Budgets &budgetsOf(const core::ServiceName &service);
 
     std::map<core::ServiceName, Budgets> budgets_;
+    std::set<std::string> endpointAddresses_; // of the view
     std::map<OutcomeKey, core::OutcomeCount> outcomes_;
     core::CommonCauseFilter interruptionFilter_;
     const core::Instant startedAt_;
