Process tests of entries that are cut off from the workers

Cause: no test cut one entry off from all workers while clients and the other processes reach it. Change: the stand-in's workers reset or ignore one entry's connections; /proc tells whose a connection is. Three tests: both kinds of cut with a second entry as relay, and an entry without any relay.

--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -1,6 +1,7 @@
 """Process tests of a site on the users' platform: control VMs and an entry over loopback, with
 stand-ins for workers and the operator."""
 
+import http.client
 import itertools
 import json
 import os
@@ -291,6 +292,81 @@
                 run[1][-1] in faults for run in worker.runs) for worker in (workers[0], workers[2])),
                 "each endless answer is given up")
 
+    # Guards against an entry that is partitioned from the workers only: clients and control VMs still
+    # reach it, so it gets requests as before and served none of them.
+    def serve_while_cut_off(self, network, how):
+        with Site(network, entries=2) as site:
+            site.configure(1)
+            for number in range(8):
+                site.worker("i-%d" % number, "llm" if number % 2 else "ledger")
+            draft = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            calls = [("/calls/1", "GET", {}), ("/refunds/1", "POST", {}), ("/drafts/1", "GET", draft)]
+            answers = []  # (entry, path, seconds since the cut, status)
+
+            def send(entry, path, method, fields, at):
+                try:
+                    status = site.request(path, method, entry=entry, headers=fields)[0]
+                except (OSError, http.client.HTTPException):
+                    status = 0
+                answers.append((entry, path, at, status))
+
+            def send_for(seconds):
+                """Sends requests at a fixed rate to both entries, and waits for their answers."""
+                begin, threads = time.monotonic(), []
+                while time.monotonic() - begin < seconds:
+                    at = time.monotonic() - begin
+                    for entry in range(2):
+                        for path, method, fields in calls:
+                            threads.append(threading.Thread(
+                                target=send, args=(entry, path, method, fields, at)))
+                            threads[-1].start()
+                    time.sleep(0.15)
+                for thread in threads:
+                    thread.join()
+
+            for entry in range(2):
+                wait_until(lambda entry=entry: site.is_ready(entry), "the entry is ready")
+                for path, method, fields in calls:
+                    wait_until(lambda entry=entry, path=path, method=method, fields=fields: site.request(
+                        path, method, entry=entry, headers=fields)[0] == 200, path + " is served")
+            send_for(2)  # both entries have idle connections
+            answers.clear()
+            site.cut(site.entries[0], how)
+            send_for(7)
+            # The platform allows 4 s.
+            missed = [answer for answer in answers
+                      if answer[3] != 200 and (answer[0] == 1 or answer[2] >= 4)]
+            self.assertEqual(missed, [])
+            self.assertTrue(any(answer[2] >= 4 for answer in answers))
+            self.assertEqual(site.entry_metric("entry_isolated"), 1)
+            self.assertTrue(site.is_ready())
+            site.end_cut()
+            wait_until(lambda: site.request("/calls/1") and not site.entry_metric("entry_isolated"),
+                       "the entry uses its own path again")
+            self.assertEqual(site.entry_metric("entry_isolated", entry=1), 0)
+
+    def test_entry_whose_connections_are_reset_is_served_by_way_of_another(self):
+        self.serve_while_cut_off(40, "reset")
+
+    def test_entry_whose_connections_are_silent_is_served_by_way_of_another(self):
+        self.serve_while_cut_off(41, "silent")
+
+    # Guards against an entry without any path that attracts requests, and against one that nobody sends
+    # requests any more, which would show that the path is back.
+    def test_entry_without_any_path_is_not_ready_until_the_path_is_back(self):
+        with Site(42) as site:
+            site.configure(1)
+            for number in range(4):
+                site.worker("i-%d" % number, "ledger")
+            site.wait_until_served("/calls/1")
+            site.cut(site.entries[0], "reset")
+            wait_until(lambda: site.request("/calls/1") and not site.is_ready(), "it is not ready")
+            site.end_cut()
+            wait_until(site.is_ready, "it is ready again")
+            wait_until(lambda: site.request("/calls/1")[0] == 200, "it serves")
+            wait_until(lambda: site.request("/calls/1") and not site.entry_metric("entry_isolated"),
+                       "it uses its own path")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -38,6 +39,32 @@
         connection.close()
 
 
+class WorkerServer(http.server.ThreadingHTTPServer):
+    """Accepts the connections of a worker. Resets those of entries that are cut off in this way."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, address, handler, site):
+        self.site = site
+        super().__init__(address, handler)
+
+    def process_request_thread(self, request, client_address):
+        if self.site.cuts.get(self.site.owner_of(request)) == "reset":
+            reset(request)
+        else:
+            super().process_request_thread(request, client_address)
+
+    def handle_error(self, *_):
+        pass  # the other side has closed the connection
+
+
+def reset(connection):
+    """Ends a connection with a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
 class Worker:
     """A worker of one service. `faults` maps the last segment of a path to a simulated fault. The worker
     ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
@@ -62,8 +89,7 @@
             def log_message(self, *_):
                 pass
 
-        self.server = http.server.ThreadingHTTPServer((ip, 0), Handler)
-        self.server.daemon_threads = True
+        self.server = WorkerServer((ip, 0), Handler, site)
         self.address = "%s:%d" % (ip, self.server.server_port)
         self.stopped = threading.Event()
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -87,7 +113,22 @@
         except OSError:
             pass  # the control VM is down; the next heartbeat goes to another one
 
+    def is_cut_off(self, request):
+        """Whether the entry that sent the request has lost its path to the workers. If so, ends the
+        connection like its partition does."""
+        if self.site.cuts and not getattr(request, "owner", None):
+            request.owner = self.site.owner_of(request.connection)
+        cut = self.site.cuts.get(request.owner) if self.site.cuts else None
+        if cut:
+            request.close_connection = True
+            if cut == "silent":
+                self.site.cut_over.wait()
+            reset(request.connection)
+        return cut is not None
+
     def respond(self, request):
+        if self.is_cut_off(request):
+            return
         length = int(request.headers.get("Content-Length") or 0)
         request.rfile.read(length)
         if request.headers.get("Fireflyroute-Expect-Instance") != self.name:
@@ -164,6 +205,8 @@
                     request.connection.shutdown(socket.SHUT_RDWR)
                     request.close_connection = True
                     return
+                if self.is_cut_off(request):
+                    return
                 request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 time.sleep(0.45 if fault == "slow" else 0.01)
             request.wfile.write(b"0\r\n\r\n")
@@ -186,6 +229,8 @@
         self.entries = ["127.%d.2.%d" % (network, i + 1) for i in range(entries)]
         self.network, self.processes, self.workers = network, {}, []
         self.requests = 0
+        self.cuts = {}  # entries that are cut off from the workers: "reset" or "silent"
+        self.cut_over = threading.Event()
 
     def __enter__(self):
         for ip in self.control:
@@ -195,6 +240,7 @@
         return self
 
     def __exit__(self, *_):
+        self.end_cut()
         for worker in self.workers:
             worker.stop()
         for process in self.processes.values():
@@ -228,6 +274,38 @@
         if signal_number == signal.SIGKILL:
             self.processes[ip].wait()
 
+    def cut(self, ip, how):
+        """Cuts an entry off from all workers: they reset its connections, or keep them and are silent."""
+        self.cut_over.clear()
+        self.cuts = {ip: how}
+
+    def end_cut(self):
+        self.cuts = {}
+        self.cut_over.set()
+
+    def owner_of(self, connection):
+        """Returns the entry on the other side of a worker's connection, or None. All connections come
+        from one IP, so the process that holds the socket tells whose it is. Only looks during a cut."""
+        if not self.cuts:
+            return None
+        try:
+            ends = ["%08X:%04X" % (struct.unpack("=I", socket.inet_aton(ip))[0], port)
+                    for ip, port in (connection.getpeername(), connection.getsockname())]
+        except OSError:
+            return None  # the connection has ended
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            found = re.search(r"%s %s( +\S+){6} +(\d+) " % tuple(ends), file.read())
+        link = found and "socket:[%s]" % found.group(2)
+        for ip in self.entries if found else ():
+            folder = "/proc/%d/fd" % self.processes[ip].pid
+            for descriptor in os.listdir(folder):
+                try:
+                    if os.readlink(os.path.join(folder, descriptor)) == link:
+                        return ip
+                except OSError:
+                    pass  # closed meanwhile
+        return None
+
     def peak_bytes(self, ip):
         """Returns the largest amount of memory that the process has used."""
         with open("/proc/%d/status" % self.processes[ip].pid, encoding="utf-8") as file:
