Test relays that are silent and endpoints that time out behind one

Cause: the two limits of net/tunnel's client had no case. Change: one case with a relay that never answers, and with one that reports a time-out.

--- a/net/testing/tunnel_test.cpp
+++ b/net/testing/tunnel_test.cpp
@@ -199,7 +199,8 @@
     }
 
     // Starts a request by way of the relay.
-    std::shared_ptr<Outcome> send(const std::string &body = "")
+    std::shared_ptr<Outcome> send(const std::string &body = "",
+                                  std::chrono::milliseconds connectTimeout = 5000ms)
     {
         auto outcome = std::make_shared<Outcome>();
         ExchangeHandlers handlers;
@@ -215,7 +216,8 @@
         };
         connection = std::make_shared<EndpointConnection>(
                 io, parseAddress(endpointAddress()).value(), parseAddress(relayAddress).value());
-        connection->send(encodeRequest({"POST", "/", {{"Host", "h"}}, body}), handlers, 5000ms);
+        connection->send(encodeRequest({"POST", "/", {{"Host", "h"}}, body}), handlers,
+                         connectTimeout);
         return outcome;
     }
 
@@ -330,6 +332,22 @@
     expectRelayFailed(finish(send()), std::nullopt);
 }
 
+BOOST_FIXTURE_TEST_CASE(silent_relay_fails_and_endpoint_that_times_out_does_not, TunnelFixture)
+{
+    tcp::acceptor fakeRelay(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    relayAddress = formatAddress(fakeRelay.local_endpoint());
+    expectRelayFailed(finish(send("", 20ms)), std::nullopt);
+    (void)fakeRelay.accept();
+    const auto outcome = send();
+    tcp::socket accepted = fakeRelay.accept();
+    accepted.non_blocking(true);
+    write(accepted, "t");
+    const Outcome result = finish(outcome);
+    BOOST_REQUIRE(result.failure);
+    BOOST_TEST((result.failure->error == ExchangeError::ConnectTimeout));
+    BOOST_TEST(!result.failure->mayHaveReachedPeer);
+}
+
 BOOST_FIXTURE_TEST_CASE(invalid_request_lines_are_rejected, TunnelFixture)
 {
     BOOST_TEST(statusOf("GET / HTTP/1.1\r\n") == 'n');
