Send entries their relays, and log isolation

Change: control VMs feed the relay directory from handshakes, probes and closed links; the one with the lease sends each changed list, at most each 200 ms, and all lists when it became leader. It logs a line of kind `relay` when an entry becomes isolated, recovers or is lost while isolated; the reports that expire are told for that. Gauges on control VMs and entries. The stand-in of the platform gets EntryLink, which reports isolation to a control VM as an entry would. The two look-ups of the leader in site_test.py are one function now. SiteTest: the new test_entries_learn_the_other_entries_as_relays and test_isolated_entries_are_no_relays_of_others pass, test_configurations_survive_leader_loss_and_never_regress too.

--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -33,6 +33,12 @@
 // How long the work reported by an entry counts. Covers several report intervals.
 constexpr std::chrono::milliseconds kWorkReportLifetime{1000};
 
+// How often entries get new lists of relays at most, if there are changes.
+constexpr std::chrono::milliseconds kRelayUpdatePeriod{200};
+
+// How long an entry's report of its path to the endpoints counts. Covers several probes.
+constexpr std::chrono::milliseconds kPathReportLifetime{1600};
+
 // Delay before the process exits after a storage failure. The process is restarted immediately, so
 // without a delay it could restart in a tight loop.
 constexpr std::chrono::milliseconds kStorageExitDelay{700};
@@ -83,6 +89,7 @@
     , settings_(settings)
     , log_(log)
     , workExchange_(kWorkReportLifetime)
+    , relayDirectory_(settings.regions, kPathReportLifetime)
 {}
 
 Result<void> SiteControl::start()
@@ -91,7 +98,7 @@
     handlers.onFrame = [this](net::FrameLink &link, std::string_view frame) {
         onFrame(link, frame);
     };
-    handlers.onDisconnected = [this](net::FrameLink &link) { incomingLinks_.erase(&link); };
+    handlers.onDisconnected = [this](net::FrameLink &link) { onDisconnected(link); };
     const net::Result<void> listening =
             net::acceptLinks(io_, settings_.linkAddress(settings_.vm), handlers,
                              [this](const std::shared_ptr<net::FrameLink> &link) {
@@ -104,6 +111,7 @@
     runEvery(kExpiryPeriod, [this] { expireSoftState(); });
     runEvery(kRolloutEvaluationPeriod, [this] { evaluateRollouts(); });
     runEvery(kCrashEvaluationPeriod, [this] { evaluateCrashes(); });
+    runEvery(kRelayUpdatePeriod, [this] { evaluateRelays(); });
     return core::outcome::success();
 }
 
@@ -312,6 +320,19 @@
 
 // --- Links ---------------------------------------------------------------------------------------
 
+void SiteControl::onDisconnected(net::FrameLink &link)
+{
+    const auto node = incomingLinks_.extract(&link);
+    if (node.empty() || !node.mapped().isEntry)
+        return;
+    // An entry that reconnects may have a new link before its old one is closed.
+    const Peer &peer = node.mapped();
+    const bool hasOther = std::any_of(incomingLinks_.begin(), incomingLinks_.end(),
+                                      [&](const auto &item) { return item.second.vm == peer.vm; });
+    if (!hasOther && relayDirectory_.recordDisconnected(peer.vm))
+        logPath(peer.vm, peer.dataCentre);
+}
+
 void SiteControl::onFrame(net::FrameLink &link, std::string_view frame)
 {
     const auto peer = incomingLinks_.find(&link);
@@ -330,12 +351,14 @@
 {
     peer.vm = message.vm;
     peer.isEntry = message.isEntry;
+    peer.dataCentre = message.dataCentre;
     LogLine(log_, LogKind::Link)
             .add("event", "regained")
             .add("peer", peer.vm.value())
             .add("peer_role", core::nameOf(peer.isEntry ? Role::Entry : Role::Control));
     if (!peer.isEntry)
         return;
+    relayDirectory_.recordConnected(peer.vm, peer.dataCentre);
     peer.feed = core::StateFeed(isInSameRegion(message.dataCentre));
     if (const auto announcement = peer.feed.onChange(state_.data(), clock_.now()))
         peer.link->send(net::encodeMessage(*announcement));
@@ -353,6 +376,8 @@
 
 void SiteControl::handleMessage(Peer &peer, const core::FreshnessProbe &message)
 {
+    if (relayDirectory_.recordProbe(peer.vm, message.isolated, clock_.now()))
+        logPath(peer.vm, peer.dataCentre);
     core::FreshnessReply reply;
     reply.nonce = message.nonce;
     reply.latestRevision = state_.data().revision;
@@ -551,6 +576,7 @@
     if (changed.role == core::ReplicaRole::Leader) {
         rolloutEvaluator_ = core::RolloutJudge();
         crashAttribution_ = core::CrashAttribution();
+        relayDirectory_.forgetLists();
     }
 }
 
@@ -582,6 +608,41 @@
     sendToEntries(state);
 }
 
+void SiteControl::logPath(const core::VmId &entry, const core::DataCentreId &dataCentre)
+{
+    if (!driver_->hasLease())
+        return;
+    LogLine(log_, LogKind::Relay)
+            .add("entry", entry.value())
+            .add("data_centre", dataCentre.value())
+            .add("path", core::nameOf(relayDirectory_.pathOf(entry)))
+            .add("isolated", static_cast<std::int64_t>(relayDirectory_.isolatedCount()));
+}
+
+void SiteControl::evaluateRelays()
+{
+    const std::vector<core::VmId> lost = relayDirectory_.expire(clock_.now());
+    for (const auto &[link, peer] : incomingLinks_) {
+        if (std::find(lost.begin(), lost.end(), peer.vm) != lost.end())
+            logPath(peer.vm, peer.dataCentre);
+    }
+    if (!driver_->hasLease())
+        return;
+    const std::vector<core::VmId> changed = relayDirectory_.update();
+    if (changed.empty())
+        return;
+    const std::set<core::VmId> changedEntries(changed.begin(), changed.end());
+    // A link that is closed while sending leaves incomingLinks_.
+    std::vector<std::pair<std::shared_ptr<net::FrameLink>, core::RelayList>> messages;
+    for (const auto &[link, peer] : incomingLinks_) {
+        if (changedEntries.contains(peer.vm))
+            messages.emplace_back(peer.link, core::RelayList{relayDirectory_.relaysOf(peer.vm)});
+    }
+    for (const auto &[link, list] : messages)
+        link->send(net::encodeMessage(list));
+    relayListsSent_ += messages.size();
+}
+
 std::string SiteControl::metrics() const
 {
     const core::Replica &replica = driver_->replica();
@@ -600,6 +661,8 @@
     gauge("control_links_accepted", incomingLinks_.size());
     gauge("control_endpoints", registry_.all().size());
     gauge("control_quarantined", crashAttribution_.state(clock_.now()).quarantined.size());
+    gauge("control_entries_isolated", relayDirectory_.isolatedCount());
+    gauge("control_relay_lists_sent_total", relayListsSent_);
     gauge("site_revision", state_.data().revision);
     gauge("site_config_version", state_.data().document.version);
     gauge("log_lines_dropped_total", log_.droppedTotal());
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -16,6 +16,7 @@
 #include "core/control_directory.h"
 #include "core/crash_attribution.h"
 #include "core/crash_watch.h"
+#include "core/relay_directory.h"
 #include "core/rollout_judge.h"
 #include "core/site_calls.h"
 #include "core/site_messages.h"
@@ -60,6 +61,7 @@
         std::shared_ptr<net::FrameLink> link;
         core::VmId vm; // empty until the handshake is received
         bool isEntry = false;
+        core::DataCentreId dataCentre;
         core::StateFeed feed; // used for entries only
     };
 
@@ -96,6 +98,9 @@
     void handleMessage(Peer & /*peer*/, const core::RelayList & /*message*/) {}
 
     // State and links.
+    void onDisconnected(net::FrameLink &link);
+    void logPath(const core::VmId &entry, const core::DataCentreId &dataCentre);
+    void evaluateRelays();
     void apply(const std::string &payload);
     void onRoleChanged(const core::RoleChanged &changed);
     void connectControlVms();
@@ -121,12 +126,14 @@
     core::RolloutJudge rolloutEvaluator_;
     core::CrashAttribution crashAttribution_;
     core::WorkExchange workExchange_;
+    core::RelayDirectory relayDirectory_;
     std::unique_ptr<ReplicaDriver> driver_; // set by open()
     std::map<net::FrameLink *, Peer> incomingLinks_;
     std::map<core::VmId, std::shared_ptr<net::FrameLink>> outgoingLinks_; // the other control VMs
     std::vector<std::shared_ptr<boost::asio::steady_timer>> timers_;
     std::uint64_t appliedCommands_ = 0;
     std::uint64_t heartbeats_ = 0;
+    std::uint64_t relayListsSent_ = 0;
     // Encoded StateUpdate with the document, which all entries request after a change.
     std::string encodedState_;
     std::uint64_t encodedRevision_ = 0; // of encodedState_
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -316,9 +316,11 @@
                        "fireflyroute_entry_ready {}\nfireflyroute_entry_control_links {}\n"
                        "fireflyroute_entry_state_updates_total {}\n"
                        "fireflyroute_entry_state_bytes_total {}\n"
+                       "fireflyroute_entry_isolated {}\nfireflyroute_entry_relays {}\n"
                        "fireflyroute_log_lines_dropped_total {}\n",
                        state_.revision, state_.document.version, isReady() ? 1 : 0, open,
-                       stateUpdates_, stateBytes_, log_.droppedTotal());
+                       stateUpdates_, stateBytes_, isolated_ ? 1 : 0, relays_.size(),
+                       log_.droppedTotal());
 }
 
 } // namespace fireflyroute::app
--- a/app/structured_log.h
+++ b/app/structured_log.h
@@ -32,6 +32,7 @@
     Attempt, // a retry, an escalation or a failed attempt
     Freshness, // whether the entry's state is fresh enough to serve
     Quarantine, // crashes of endpoints, and the requests that are refused because of them
+    Relay, // entries that lost or regained their path to the endpoints
 };
 
 } // namespace fireflyroute::app
@@ -52,6 +53,7 @@
             EnumName{app::LogKind::Attempt, "attempt"},
             EnumName{app::LogKind::Freshness, "currency"},
             EnumName{app::LogKind::Quarantine, "quarantine"},
+            EnumName{app::LogKind::Relay, "relay"},
     };
 };
 
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -14,12 +14,18 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from platform_stand_in import EVENT_COUNT, SEAL, Site, call, wait_until  # noqa: E402
+from platform_stand_in import EVENT_COUNT, SEAL, EntryLink, Site, call, wait_until  # noqa: E402
 
 COMPLETE_STREAM = "".join("id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, EVENT_COUNT + 1))
 
 
 class SiteTest(unittest.TestCase):
+    def leader(self, site):
+        leaders = [ip for ip in site.control
+                   if call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
+        self.assertEqual(len(leaders), 1)
+        return leaders[0]
+
     def test_requests_are_matched_authorised_and_answered_unchanged(self):
         with Site(11) as site:
             site.configure(1)
@@ -100,13 +106,11 @@
                                                 "{")[0], 400)
             wait_until(lambda: site.request("/calls/1", key="k2")[0] == 200, "the new key works")
             self.assertEqual(site.request("/calls/1", key="k1")[0], 401)
-            leader = [ip for ip in site.control
-                      if call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
-            self.assertEqual(len(leader), 1)
-            site.kill(leader[0])
+            leader = self.leader(site)
+            site.kill(leader)
             self.assertEqual(site.operator_call("GET", "/fireflyroute/Config.Read"), (200, newest))
             later, _ = site.configure(9, keys=("k2", "k3"))
-            site.start(leader[0])
+            site.start(leader)
             self.assertEqual(site.operator_call("GET", "/fireflyroute/Config.Read"), (200, later))
             wait_until(lambda: site.request("/calls/1", key="k3")[0] == 200, "the third key works")
 
@@ -223,6 +227,55 @@
                         while link.recv(1 << 16):
                             pass
 
+    # Guards against entries that keep relays which are gone, also when another control VM leads.
+    def test_entries_learn_the_other_entries_as_relays(self):
+        with Site(22, controls=5, entries=3) as site:
+            site.configure(1)
+            wait_until(lambda: site.voters() == 5, "all control VMs vote")
+
+            def wait_for_relays(count):
+                wait_until(lambda: all(site.entry_metric("entry_relays", entry) == count
+                                       for entry in (0, 1)), "%d relays" % count)
+
+            wait_for_relays(2)
+            site.kill(site.entries[2])
+            wait_for_relays(1)
+            site.kill(self.leader(site))
+            site.start(site.entries[2])
+            wait_for_relays(2)
+            self.assertEqual(site.entry_metric("entry_isolated"), 0)
+
+    # Guards against relays that have no path to the workers themselves.
+    def test_isolated_entries_are_no_relays_of_others(self):
+        with Site(23) as site:
+            site.configure(1)
+            wait_until(lambda: site.voters() == 3, "all control VMs vote")
+            leader, entry = self.leader(site), site.entries[0]
+
+            def wait_for(isolated, relays):
+                wait_until(lambda: link.probe(isolated) is not None
+                           and site.entry_metric("entry_relays") == relays,
+                           "the entry has %d relays" % relays)
+
+            with EntryLink(leader, "127.23.2.9") as link:
+                wait_for(isolated=False, relays=1)
+                wait_for(isolated=True, relays=0)
+                self.assertEqual(link.probe(True), [entry])
+                wait_for(isolated=False, relays=1)
+                wait_for(isolated=True, relays=0)
+
+            def reported():
+                return [(line["entry"], line["path"], line["isolated"])
+                        for line in site.log(leader) if line["kind"] == "relay"]
+
+            lost = ("127.23.2.9", "unknown", 0)
+            wait_until(lambda: reported()[-1] == lost, "the loss of the isolated entry is logged")
+            # Reports that expire between two late probes show as lost, and as isolated once more.
+            changes = [line for line, _ in itertools.groupby(
+                line for line in reported() if line != lost)]
+            self.assertEqual(changes, [("127.23.2.9", path, isolated) for path, isolated in
+                                       (("isolated", 1), ("connected", 0), ("isolated", 1))])
+
     # Guards against prompts with one part that crashes workers being sent to one worker after another.
     def test_prompt_part_that_crashes_workers_stops_reaching_them(self):
         with Site(20, entries=2) as site:
--- a/core/relay_directory.cpp
+++ b/core/relay_directory.cpp
@@ -40,15 +40,20 @@
     return isolated != wasIsolated;
 }
 
-void RelayDirectory::expire(Instant now)
+std::vector<VmId> RelayDirectory::expire(Instant now)
 {
+    std::vector<VmId> lost;
     const bool wasPaused = now - std::exchange(expiredAt_, now) > reportLifetime_ / 2;
     for (auto &[vm, entry] : entries_) {
         if (wasPaused)
             entry.reportedAt = now;
-        else if (now - entry.reportedAt > reportLifetime_)
-            setPath(entry, EntryPath::Unknown);
+        if (now - entry.reportedAt <= reportLifetime_)
+            continue;
+        if (entry.path == EntryPath::Isolated)
+            lost.push_back(vm);
+        setPath(entry, EntryPath::Unknown);
     }
+    return lost;
 }
 
 void RelayDirectory::forgetLists()
--- a/core/relay_directory.h
+++ b/core/relay_directory.h
@@ -5,7 +5,8 @@
 //   RelayDirectory directory(regions, reportLifetime);
 //   directory.recordConnected(entry, dataCentre);
 //   directory.recordProbe(entry, probe.isolated, now);
-//   directory.expire(now);                                // periodically
+//   for (const VmId &lost : directory.expire(now))        // periodically
+//       log(lost);
 //   for (const VmId &changed : directory.update())        // periodically, on the leader
 //       link.send(RelayList{directory.relaysOf(changed)});
 //
@@ -59,8 +60,8 @@
     bool recordProbe(const VmId &entry, bool isolated, Instant now);
 
     // Drops reports that are too old. Reports don't expire during a pause of the process, since
-    // newer ones may wait to be read.
-    void expire(Instant now);
+    // newer ones may wait to be read. Returns the entries that were isolated by their last report.
+    std::vector<VmId> expire(Instant now);
 
     // Makes the next update() return all entries: a new leader doesn't know what was sent.
     void forgetLists();
--- a/core/testing/relay_directory_test.cpp
+++ b/core/testing/relay_directory_test.cpp
@@ -230,6 +230,25 @@
     BOOST_TEST(contains(site.directory.relaysOf(vm(kA1, 0)), silent));
 }
 
+// Guards against a count of isolated entries that falls without a line in the log.
+BOOST_AUTO_TEST_CASE(expired_reports_of_isolation_are_told_once)
+{
+    Site site;
+    site.add(kA1, 2);
+    (void)site.step();
+    site.setIsolated(vm(kA1, 0), true);
+    site.silence(vm(kA1, 0));
+    site.silence(vm(kA1, 1));
+    std::vector<VmId> lost;
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(site.directory.isolatedCount() == (lost.empty() ? 1U : 0U));
+        site.now += kProbePeriod;
+        const std::vector<VmId> lostNow = site.directory.expire(site.now);
+        lost.insert(lost.end(), lostNow.begin(), lostNow.end());
+    }
+    BOOST_TEST((lost == std::vector<VmId>{vm(kA1, 0)}));
+}
+
 // Guards against lists with entries that left, and against a count of isolated entries that keeps
 // them.
 BOOST_AUTO_TEST_CASE(disconnected_entries_are_forgotten)
@@ -301,6 +320,7 @@
     BOOST_TEST(site.directory.recordProbe(entry, true, site.now));
     BOOST_TEST((site.directory.pathOf(entry) == EntryPath::Isolated));
     BOOST_TEST(!site.directory.recordProbe(entry, true, site.now));
+    BOOST_TEST(site.directory.expire(site.now + 400ms).empty());
     BOOST_TEST(site.directory.recordProbe(entry, false, site.now));
     BOOST_TEST((site.directory.pathOf(entry) == EntryPath::Connected));
     BOOST_TEST(site.directory.isolatedCount() == 0U);
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -176,6 +177,59 @@
         self.server.server_close()
 
 
+class EntryLink:
+    """The link of an entry to a control VM, for reports that a real entry would make only while its network
+    is partitioned."""
+
+    HANDSHAKE, PROBE, RELAY_LIST = 0, 1, 13  # positions in core::SiteMessage
+
+    def __init__(self, control_ip, vm, data_centre="a"):
+        self.socket = socket.create_connection((control_ip, 7340), timeout=5)
+        self.socket.settimeout(None)
+        self.received, self.relays = b"", None  # None before the first list
+        self.send(self.HANDSHAKE, self.encode(vm) + b"\x01" + self.encode(data_centre))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.socket.close()
+
+    @staticmethod
+    def encode(text):
+        return struct.pack("<Q", len(text)) + text.encode()
+
+    def send(self, kind, fields):
+        message = b"\x01" + struct.pack("<i", kind) + fields  # little-endian
+        self.socket.sendall(struct.pack("<I", len(message)) + message)
+
+    def probe(self, isolated):
+        """Sends a probe and reads what has arrived. Returns the last list of relays."""
+        self.send(self.PROBE, struct.pack("<QB", 1, isolated))
+        try:
+            while True:
+                self.received += self.socket.recv(1 << 16, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            pass
+        while len(self.received) >= 4:
+            end = 4 + struct.unpack_from("<I", self.received)[0]
+            if len(self.received) < end:
+                break
+            message, self.received = self.received[4:end], self.received[end:]
+            if struct.unpack_from("<i", message, 1)[0] == self.RELAY_LIST:
+                self.relays = self.decode_list(message[5:])
+        return self.relays
+
+    @staticmethod
+    def decode_list(fields):
+        items, position = [], 8
+        for _ in range(struct.unpack_from("<Q", fields)[0]):
+            size = struct.unpack_from("<Q", fields, position)[0]
+            items.append(fields[position + 8:position + 8 + size].decode())
+            position += 8 + size
+        return items
+
+
 class Site:
     """Control VMs and entries as real processes, with simulated workers and an operator."""
 
