--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -15,12 +15,18 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from platform_stand_in import EVENT_COUNT, SEAL, Site, call, wait_until  # noqa: E402
+from platform_stand_in import EVENT_COUNT, SEAL, EntryLink, Site, call, wait_until  # noqa: E402
 
 COMPLETE_STREAM = "".join("id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, EVENT_COUNT + 1))
 
 
 class SiteTest(unittest.TestCase):
+    def leader(self, site):
+        leaders = [ip for ip in site.control
+                   if call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
+        self.assertEqual(len(leaders), 1)
+        return leaders[0]
+
     def test_requests_are_matched_authorised_and_answered_unchanged(self):
         with Site(11) as site:
             site.configure(1)
@@ -101,13 +107,11 @@
                                                 "{")[0], 400)
             wait_until(lambda: site.request("/calls/1", key="k2")[0] == 200, "the new key works")
             self.assertEqual(site.request("/calls/1", key="k1")[0], 401)
-            leader = [ip for ip in site.control
-                      if call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
-            self.assertEqual(len(leader), 1)
-            site.kill(leader[0])
+            leader = self.leader(site)
+            site.kill(leader)
             self.assertEqual(site.operator_call("GET", "/fireflyroute/Config.Read"), (200, newest))
             later, _ = site.configure(9, keys=("k2", "k3"))
-            site.start(leader[0])
+            site.start(leader)
             self.assertEqual(site.operator_call("GET", "/fireflyroute/Config.Read"), (200, later))
             wait_until(lambda: site.request("/calls/1", key="k3")[0] == 200, "the third key works")
 
@@ -224,6 +228,55 @@
                         while link.recv(1 << 16):
                             pass
 
+    # Guards against entries that keep relays which are gone, also when another control VM leads.
+    def test_entries_learn_the_other_entries_as_relays(self):
+        with Site(22, controls=5, entries=3) as site:
+            site.configure(1)
+            wait_until(lambda: site.voters() == 5, "all control VMs vote")
+
+            def wait_for_relays(count):
+                wait_until(lambda: all(site.entry_metric("entry_relays", entry) == count
+                                       for entry in (0, 1)), "%d relays" % count)
+
+            wait_for_relays(2)
+            site.kill(site.entries[2])
+            wait_for_relays(1)
+            site.kill(self.leader(site))
+            site.start(site.entries[2])
+            wait_for_relays(2)
+            self.assertEqual(site.entry_metric("entry_isolated"), 0)
+
+    # Guards against relays that have no path to the workers themselves.
+    def test_isolated_entries_are_no_relays_of_others(self):
+        with Site(23) as site:
+            site.configure(1)
+            wait_until(lambda: site.voters() == 3, "all control VMs vote")
+            leader, entry = self.leader(site), site.entries[0]
+
+            def wait_for(isolated, relays):
+                wait_until(lambda: link.probe(isolated) is not None
+                           and site.entry_metric("entry_relays") == relays,
+                           "the entry has %d relays" % relays)
+
+            with EntryLink(leader, "127.23.2.9") as link:
+                wait_for(isolated=False, relays=1)
+                wait_for(isolated=True, relays=0)
+                self.assertEqual(link.probe(True), [entry])
+                wait_for(isolated=False, relays=1)
+                wait_for(isolated=True, relays=0)
+
+            def reported():
+                return [(line["entry"], line["path"], line["isolated"])
+                        for line in site.log(leader) if line["kind"] == "relay"]
+
+            lost = ("127.23.2.9", "unknown", 0)
+            wait_until(lambda: reported()[-1] == lost, "the loss of the isolated entry is logged")
+            # Reports that expire between two late probes show as lost, and as isolated once more.
+            changes = [line for line, _ in itertools.groupby(
+                line for line in reported() if line != lost)]
+            self.assertEqual(changes, [("127.23.2.9", path, isolated) for path, isolated in
+                                       (("isolated", 1), ("connected", 0), ("isolated", 1))])
+
     # Guards against prompts with one part that crashes workers being sent to one worker after another.
     def test_prompt_part_that_crashes_workers_stops_reaching_them(self):
         with Site(20, entries=2) as site:
@@ -374,6 +427,81 @@
             caller.join()
             self.assertEqual(responses[0][0:3:2], (200, COMPLETE_STREAM))
 
+    # Guards against an entry that is partitioned from the workers only: clients and control VMs still
+    # reach it, so it gets requests as before and served none of them.
+    def serve_while_cut_off(self, network, how):
+        with Site(network, entries=2) as site:
+            site.configure(1)
+            for number in range(8):
+                site.worker("i-%d" % number, "llm" if number % 2 else "ledger")
+            draft = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            calls = [("/calls/1", "GET", {}), ("/refunds/1", "POST", {}), ("/drafts/1", "GET", draft)]
+            answers = []  # (entry, path, seconds since the cut, status)
+
+            def send(entry, path, method, fields, at):
+                try:
+                    status = site.request(path, method, entry=entry, headers=fields)[0]
+                except (OSError, http.client.HTTPException):
+                    status = 0
+                answers.append((entry, path, at, status))
+
+            def send_for(seconds):
+                """Sends requests at a fixed rate to both entries, and waits for their answers."""
+                begin, threads = time.monotonic(), []
+                while time.monotonic() - begin < seconds:
+                    at = time.monotonic() - begin
+                    for entry in range(2):
+                        for path, method, fields in calls:
+                            threads.append(threading.Thread(
+                                target=send, args=(entry, path, method, fields, at)))
+                            threads[-1].start()
+                    time.sleep(0.15)
+                for thread in threads:
+                    thread.join()
+
+            for entry in range(2):
+                wait_until(lambda entry=entry: site.is_ready(entry), "the entry is ready")
+                for path, method, fields in calls:
+                    wait_until(lambda entry=entry, path=path, method=method, fields=fields: site.request(
+                        path, method, entry=entry, headers=fields)[0] == 200, path + " is served")
+            send_for(2)  # both entries have idle connections
+            answers.clear()
+            site.cut(site.entries[0], how)
+            send_for(7)
+            # The platform allows 4 s.
+            missed = [answer for answer in answers
+                      if answer[3] != 200 and (answer[0] == 1 or answer[2] >= 4)]
+            self.assertEqual(missed, [])
+            self.assertTrue(any(answer[2] >= 4 for answer in answers))
+            self.assertEqual(site.entry_metric("entry_isolated"), 1)
+            self.assertTrue(site.is_ready())
+            site.end_cut()
+            wait_until(lambda: site.request("/calls/1") and not site.entry_metric("entry_isolated"),
+                       "the entry uses its own path again")
+            self.assertEqual(site.entry_metric("entry_isolated", entry=1), 0)
+
+    def test_entry_whose_connections_are_reset_is_served_by_way_of_another(self):
+        self.serve_while_cut_off(40, "reset")
+
+    def test_entry_whose_connections_are_silent_is_served_by_way_of_another(self):
+        self.serve_while_cut_off(41, "silent")
+
+    # Guards against an entry without any path that attracts requests, and against one that nobody sends
+    # requests any more, which would show that the path is back.
+    def test_entry_without_any_path_is_not_ready_until_the_path_is_back(self):
+        with Site(42) as site:
+            site.configure(1)
+            for number in range(4):
+                site.worker("i-%d" % number, "ledger")
+            site.wait_until_served("/calls/1")
+            site.cut(site.entries[0], "reset")
+            wait_until(lambda: site.request("/calls/1") and not site.is_ready(), "it is not ready")
+            site.end_cut()
+            wait_until(site.is_ready, "it is ready again")
+            wait_until(lambda: site.request("/calls/1")[0] == 200, "it serves")
+            wait_until(lambda: site.request("/calls/1") and not site.entry_metric("entry_isolated"),
+                       "it uses its own path")
+
 
 if __name__ == "__main__":
     unittest.main()
