Never join a truncated response with the answer after it

Cause: a peer that repeats an earlier response on a kept connection and cuts it off in the reason phrase or in a field value leaves an open line. If that arrives after the next request was sent, the answer to that request continues the line, and both parse as one head: the status and the refusal of the first with the request id and the signature of the second. Callers were told that a request had not run though the endpoint had run it, and it was sent to a second endpoint.

Change: a head whose reason phrase or field value contains the start of a status line is malformed. Cuts elsewhere were malformed before, since a status line is no field name. The exchange ends as one that may have run.

Result: the new test cuts the repeated refusal after each of its bytes.

--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "net/endpoint_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -50,6 +51,17 @@
     return std::chrono::seconds(seconds);
 }
 
+// Whether the text contains the start of a status line.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view kPattern = "HTTP/0.0 000"; // a zero matches any digit
+    const auto matches = [](char c, char expected) {
+        return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+    };
+    return std::search(text.begin(), text.end(), kPattern.begin(), kPattern.end(), matches)
+           != text.end();
+}
+
 } // namespace
 
 struct EndpointConnection::Parser
@@ -218,6 +230,10 @@
     const std::shared_ptr<const ExchangeHandlers> handlers = handlers_;
     if (!state.headHandled && state.parser.is_header_done()) {
         recordHead();
+        if (isJoinedHead()) {
+            fail(ExchangeError::Malformed);
+            return false;
+        }
         if (state.head.status < kMinFinalStatus || !handlers->matchesRequest(state.head)) {
             skippingResponse_ = true;
             if (++skippedResponses_ > kMaxSkippedResponses) {
@@ -250,6 +266,16 @@
         keepAliveTimeout_ = parseKeepAliveTimeout(*value).value_or(keepAliveTimeout_);
 }
 
+// Whether a response that was cut off within its head is joined with the response after it: the
+// status line of the latter stands in the reason phrase or in a field value.
+bool EndpointConnection::isJoinedHead() const
+{
+    const auto reason = parser_->parser.get().reason();
+    return containsStatusLine({reason.data(), reason.size()})
+           || std::any_of(parser_->head.fields.begin(), parser_->head.fields.end(),
+                          [](const HttpHeader &field) { return containsStatusLine(field.value); });
+}
+
 void EndpointConnection::onEndOfStream()
 {
     const bool endsByConnectionClose = headReceived_ && !skippingResponse_
--- a/net/endpoint_connection.h
+++ b/net/endpoint_connection.h
@@ -103,6 +103,7 @@
     bool deliverParsed();
     void onEndOfStream();
     void recordHead();
+    [[nodiscard]] bool isJoinedHead() const;
     void complete(ResponseEnd end);
     void fail(ExchangeError error);
     void close();
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <future>
 #include <thread>
 
 using namespace fireflyroute::net;
@@ -26,17 +27,22 @@
     std::optional<ExchangeFailure> failure;
 };
 
+// What the scripted peer does with its connection after the last response.
+enum class PeerEnd { KeepOpen, Close, Reset };
+
 struct HttpSessionFixture
 {
     // Starts a peer that accepts one connection. For each response it reads one request head and
-    // then sends the response.
-    std::string startScriptedPeer(std::vector<std::string> responses, bool closeAfterResponses)
+    // then sends the response. It sends `lateBytes` when `sendLateBytes` is set.
+    std::string startScriptedPeer(std::vector<std::string> responses, PeerEnd end,
+                                  std::string lateBytes = {})
     {
         tcp::acceptor acceptor(scriptIo, tcp::endpoint(tcp::v4(), 0));
         const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
         scriptThread =
-                std::thread([acceptor = std::move(acceptor), responses = std::move(responses),
-                             closeAfterResponses]() mutable {
+                std::thread([acceptor = std::move(acceptor), responses = std::move(responses), end,
+                             lateBytes = std::move(lateBytes),
+                             mayContinue = sendLateBytes.get_future()]() mutable {
                     tcp::socket socket = acceptor.accept();
                     std::string received;
                     for (const std::string &response : responses) {
@@ -48,9 +54,17 @@
                         received.erase(0, size);
                         boost::asio::write(socket, boost::asio::buffer(response), error);
                     }
-                    if (closeAfterResponses)
-                        return;
                     boost::system::error_code readError;
+                    if (!lateBytes.empty()) {
+                        mayContinue.wait();
+                        boost::asio::write(socket, boost::asio::buffer(lateBytes), readError);
+                    }
+                    if (end == PeerEnd::Reset) {
+                        socket.set_option(tcp::socket::linger(true, 0), readError);
+                        socket.close(readError); // the destructor would not reset the connection
+                    }
+                    if (end != PeerEnd::KeepOpen)
+                        return;
                     (void)boost::asio::read_until(socket, boost::asio::dynamic_buffer(received),
                                                   "never", readError);
                 });
@@ -108,6 +122,7 @@
     boost::asio::io_context scriptIo;
     boost::asio::io_context io;
     std::thread scriptThread;
+    std::promise<void> sendLateBytes;
     std::shared_ptr<EndpointConnection> connection;
 };
 
@@ -117,11 +132,19 @@
            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// Refusal of an earlier request. An empty id is omitted.
+std::string refusal(unsigned status, const std::string &responseId)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Refused\r\n"
+           + (responseId.empty() ? "" : "Id: " + responseId + "\r\n")
+           + "Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(connection_is_reused_for_the_next_request, HttpSessionFixture)
 {
-    connectTo(startScriptedPeer({response("a", "one"), response("b", "two")}, false));
+    connectTo(startScriptedPeer({response("a", "one"), response("b", "two")}, PeerEnd::KeepOpen));
     BOOST_TEST(exchange("a").body == "one");
     BOOST_TEST(connection->isReusable());
     BOOST_TEST(exchange("b").body == "two");
@@ -129,8 +152,9 @@
 
 BOOST_FIXTURE_TEST_CASE(late_response_to_an_earlier_request_is_skipped, HttpSessionFixture)
 {
-    connectTo(startScriptedPeer(
-            {response("a", "one"), response("a", "again") + response("b", "two")}, false));
+    connectTo(
+            startScriptedPeer({response("a", "one"), response("a", "again") + response("b", "two")},
+                              PeerEnd::KeepOpen));
     BOOST_TEST(exchange("a").body == "one");
     BOOST_TEST(exchange("b").body == "two");
 }
@@ -140,7 +164,7 @@
 BOOST_FIXTURE_TEST_CASE(endless_head_ends_the_exchange, HttpSessionFixture)
 {
     connectTo(startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\nX: " + std::string(1U << 20U, 'x')},
-                                false));
+                                PeerEnd::KeepOpen));
     const Outcome outcome = exchange("a");
     BOOST_REQUIRE(outcome.failure);
     BOOST_TEST((outcome.failure->error == ExchangeError::Malformed));
@@ -151,7 +175,7 @@
     connectTo(
             startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x="
                                + std::string(1U << 20U, 'x')},
-                              false));
+                              PeerEnd::KeepOpen));
     const Outcome outcome = exchange("a");
     BOOST_REQUIRE(outcome.failure);
     BOOST_TEST((outcome.failure->error == ExchangeError::Malformed));
@@ -159,15 +183,15 @@
 
 BOOST_FIXTURE_TEST_CASE(surplus_bytes_make_the_connection_unusable, HttpSessionFixture)
 {
-    connectTo(startScriptedPeer({response("a", "one") + "more"}, false));
+    connectTo(startScriptedPeer({response("a", "one") + "more"}, PeerEnd::KeepOpen));
     BOOST_TEST(exchange("a").body == "one");
     BOOST_TEST(!connection->isReusable());
 }
 
 BOOST_FIXTURE_TEST_CASE(truncated_response_is_a_failure, HttpSessionFixture)
 {
-    connectTo(
-            startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nonly"}, true));
+    connectTo(startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nonly"},
+                                PeerEnd::Close));
     const Outcome outcome = exchange("a");
     BOOST_REQUIRE(outcome.failure);
     BOOST_TEST(outcome.failure->mayHaveReachedPeer);
@@ -175,7 +199,7 @@
 
 BOOST_FIXTURE_TEST_CASE(response_without_length_ends_at_connection_close, HttpSessionFixture)
 {
-    connectTo(startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole"}, true));
+    connectTo(startScriptedPeer({"HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole"}, PeerEnd::Close));
     const Outcome outcome = exchange("a");
     BOOST_TEST(!outcome.failure);
     BOOST_TEST(outcome.body == "whole");
@@ -196,12 +220,31 @@
 
 BOOST_FIXTURE_TEST_CASE(non_http_bytes_are_reported_as_malformed, HttpSessionFixture)
 {
-    connectTo(startScriptedPeer({"GARBAGE\r\n\r\n"}, true));
+    connectTo(startScriptedPeer({"GARBAGE\r\n\r\n"}, PeerEnd::Close));
     const Outcome outcome = exchange("a");
     BOOST_REQUIRE(outcome.failure);
     BOOST_TEST((outcome.failure->error == ExchangeError::Malformed));
 }
 
+// Guards against a repeated refusal that is cut off: with the answer to the next request it formed
+// one head, with the status of the refusal and the id of the answer.
+BOOST_AUTO_TEST_CASE(truncated_refusal_is_never_joined_with_the_next_answer)
+{
+    const std::string repeated = refusal(503, "a");
+    for (std::size_t size = 1; size < repeated.size(); ++size) {
+        BOOST_TEST_CONTEXT("refusal cut after " << size << " bytes")
+        {
+            HttpSessionFixture fixture;
+            fixture.connectTo(fixture.startScriptedPeer(
+                    {repeated, repeated.substr(0, size) + response("b", "two")}, PeerEnd::Close));
+            BOOST_TEST(fixture.exchange("a").status == 503U);
+            const Outcome outcome = fixture.exchange("b");
+            BOOST_TEST(outcome.failure.has_value());
+            BOOST_TEST(outcome.status == 0U);
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(sessions_reject_ambiguous_or_oversized_requests, HttpSessionFixture)
 {
     tcp::acceptor portReservation(io, tcp::endpoint(tcp::v4(), 0));
