Test that a repeated refusal is taken for no later answer

A peer that writes an earlier refusal once more on a kept connection can't make callers believe that their request did not run: a repeated refusal before the next request ends the reuse of the connection, and one after it is skipped, as its request id is another one or missing.

Proof, each in a scratch edit of EndpointConnection: without the check of the request id, repeated_refusal_of_an_earlier_request_is_skipped fails; without the close on bytes between requests, repeated_refusal_closes_an_idle_connection fails (and no other test); with reuse after surplus bytes, repeated_refusal_in_one_segment_ends_the_reuse fails.

--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -226,6 +226,45 @@
     BOOST_TEST((outcome.failure->error == ExchangeError::Malformed));
 }
 
+// Guards against an earlier refusal that a peer repeats after the next request was sent: it was
+// taken for the answer to that request.
+BOOST_AUTO_TEST_CASE(repeated_refusal_of_an_earlier_request_is_skipped)
+{
+    for (const unsigned status : {503U, 429U, 421U, 408U, 500U}) {
+        for (const std::string id : {"a", ""}) {
+            BOOST_TEST_CONTEXT(status << " id '" << id << "'")
+            {
+                HttpSessionFixture fixture;
+                const std::string refused = refusal(status, "a");
+                fixture.connectTo(fixture.startScriptedPeer(
+                        {refused, refusal(status, id) + response("b", "two")}, PeerEnd::KeepOpen));
+                BOOST_TEST(fixture.exchange("a").status == status);
+                const Outcome outcome = fixture.exchange("b");
+                BOOST_TEST(outcome.status == 200U);
+                BOOST_TEST(outcome.body == "two");
+            }
+        }
+    }
+}
+
+// Guards against the same, if the repeated refusal arrives between two requests.
+BOOST_FIXTURE_TEST_CASE(repeated_refusal_closes_an_idle_connection, HttpSessionFixture)
+{
+    connectTo(startScriptedPeer({refusal(503, "a")}, PeerEnd::KeepOpen, refusal(503, "a")));
+    BOOST_TEST(exchange("a").status == 503U);
+    BOOST_TEST(connection->isReusable());
+    sendLateBytes.set_value();
+    runUntil([&] { return !connection->isReusable(); });
+}
+
+// Guards against the same, if the repeated refusal arrives together with the first.
+BOOST_FIXTURE_TEST_CASE(repeated_refusal_in_one_segment_ends_the_reuse, HttpSessionFixture)
+{
+    connectTo(startScriptedPeer({refusal(503, "a") + refusal(503, "a")}, PeerEnd::KeepOpen));
+    BOOST_TEST(exchange("a").status == 503U);
+    BOOST_TEST(!connection->isReusable());
+}
+
 // Guards against a repeated refusal that is cut off: with the answer to the next request it formed
 // one head, with the status of the refusal and the id of the answer.
 BOOST_AUTO_TEST_CASE(truncated_refusal_is_never_joined_with_the_next_answer)
