Test that an answer cut at any byte is never complete

A peer that closes or resets its connection within the head of an answer, within its body or within its chunk framing, also after informational responses, always ends the exchange with a failure, and no head is passed on before it is whole. An answer without a length is complete after a clean close only.

Proof, each in a scratch edit of EndpointConnection: if the end of the connection completes an answer without a head, or one with a length or chunks, or if a reset counts as a clean close, one of the two tests fails in each case; the reset was guarded by no test before.

--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -140,6 +140,14 @@
            + "Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
 }
 
+// Result of one exchange on a new connection whose peer sends the bytes.
+Outcome exchangeWithPeer(const std::string &bytes, PeerEnd end)
+{
+    HttpSessionFixture fixture;
+    fixture.connectTo(fixture.startScriptedPeer({bytes}, end));
+    return fixture.exchange("a");
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(connection_is_reused_for_the_next_request, HttpSessionFixture)
@@ -284,6 +292,45 @@
     }
 }
 
+// Guards against a peer that closes in the middle of its answer: what had arrived was passed on as
+// a complete answer.
+BOOST_AUTO_TEST_CASE(answer_cut_at_any_byte_is_a_failure)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n";
+    for (const std::string informational :
+         {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"}) {
+        for (const std::string rest :
+             {"Content-Length: 5\r\n\r\nhello",
+              "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"}) {
+            const std::string answer = informational + head + rest;
+            const std::size_t headSize = answer.rfind("\r\n\r\n", answer.find("hello")) + 4;
+            for (std::size_t size = 0; size < answer.size(); ++size) {
+                BOOST_TEST_CONTEXT("cut after " << answer.substr(0, size))
+                {
+                    const PeerEnd end = size % 2 == 0 ? PeerEnd::Close : PeerEnd::Reset;
+                    const Outcome outcome = exchangeWithPeer(answer.substr(0, size), end);
+                    BOOST_REQUIRE(outcome.failure);
+                    BOOST_TEST(outcome.failure->mayHaveReachedPeer);
+                    if (size < headSize)
+                        BOOST_TEST(outcome.status == 0U);
+                }
+            }
+            BOOST_TEST(exchangeWithPeer(answer, PeerEnd::Close).body == "hello");
+        }
+    }
+}
+
+// Guards against the same for an answer without a length, which ends with its connection: its head
+// may be cut, and a reset may cut its body.
+BOOST_AUTO_TEST_CASE(answer_without_length_is_complete_only_after_a_clean_close)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\n\r\n";
+    for (std::size_t size = 0; size < head.size(); ++size)
+        BOOST_TEST(exchangeWithPeer(head.substr(0, size), PeerEnd::Close).failure.has_value());
+    BOOST_TEST(exchangeWithPeer(head + "part", PeerEnd::Reset).failure.has_value());
+    BOOST_TEST(!exchangeWithPeer(head + "whole", PeerEnd::Close).failure);
+}
+
 BOOST_FIXTURE_TEST_CASE(sessions_reject_ambiguous_or_oversized_requests, HttpSessionFixture)
 {
     tcp::acceptor portReservation(io, tcp::endpoint(tcp::v4(), 0));
