Test truncated refusals without a request id too

Cut off within a field value, only these can be joined with the next answer under its request id. Without the check of field values, in a scratch edit, the test fails; the case with an id did not.

--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -277,17 +277,20 @@
 // one head, with the status of the refusal and the id of the answer.
 BOOST_AUTO_TEST_CASE(truncated_refusal_is_never_joined_with_the_next_answer)
 {
-    const std::string repeated = refusal(503, "a");
-    for (std::size_t size = 1; size < repeated.size(); ++size) {
-        BOOST_TEST_CONTEXT("refusal cut after " << size << " bytes")
-        {
-            HttpSessionFixture fixture;
-            fixture.connectTo(fixture.startScriptedPeer(
-                    {repeated, repeated.substr(0, size) + response("b", "two")}, PeerEnd::Close));
-            BOOST_TEST(fixture.exchange("a").status == 503U);
-            const Outcome outcome = fixture.exchange("b");
-            BOOST_TEST(outcome.failure.has_value());
-            BOOST_TEST(outcome.status == 0U);
+    for (const std::string id : {"a", ""}) {
+        const std::string repeated = refusal(503, id);
+        for (std::size_t size = 1; size < repeated.size(); ++size) {
+            BOOST_TEST_CONTEXT("cut after '" << repeated.substr(0, size) << "'")
+            {
+                HttpSessionFixture fixture;
+                fixture.connectTo(fixture.startScriptedPeer(
+                        {refusal(503, "a"), repeated.substr(0, size) + response("b", "two")},
+                        PeerEnd::Close));
+                BOOST_TEST(fixture.exchange("a").status == 503U);
+                const Outcome outcome = fixture.exchange("b");
+                BOOST_TEST(outcome.failure.has_value());
+                BOOST_TEST(outcome.status == 0U);
+            }
         }
     }
 }
