Answer 502 when an endpoint refuses a request that it may have run

Cause: an error of an endpoint was passed on with its status. To callers 408, 429 and 503 promise that the request did not run, but an endpoint that sends one without its statement that it did not run the request has made no such promise. A non-idempotent request that had run was so answered with 503.

Change: the codec marks the statuses that deny a run. For a non-idempotent request such an answer without the statement is discarded, and the caller gets 502. Answers to idempotent requests are passed on as before.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -515,7 +515,11 @@
     }
     if (attempt_->head.status >= proxy::kFirstNonSuccessStatus) {
         recordAnswered();
-        retryOrForwardError();
+        // Without the endpoint's statement that the request did not run, the status may be wrong.
+        if (attempt_->meta.statusDeniesRun && !route_->isIdempotent())
+            failAttempt(core::AttemptOutcome::Discarded, "refusal without a statement", false);
+        else
+            retryOrForwardError();
         return;
     }
     if (isStream()) {
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -291,6 +291,28 @@
                 run[1][-1] in faults for run in worker.runs) for worker in (workers[0], workers[2])),
                 "each endless answer is given up")
 
+    # Guards against answers whose status says that a request did not run, from a worker that ran it.
+    def test_worker_that_ran_a_request_can_not_refuse_it(self):
+        def run_and_answer(status):
+            def respond(worker, request):
+                worker.record_run(request)
+                worker.reply(request, status, {"Fireflyroute-Response-Seal": SEAL, "Retry-After": "1"})
+                return True
+            return respond
+
+        statuses = (408, 429, 503)
+        with Site(31) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "ledger", faults={
+                str(status): run_and_answer(status) for status in statuses})
+            site.wait_until_served("/calls/1")
+            for status in statuses:
+                path = "/refunds/%d" % status
+                while not any(run[1] == path for run in worker.runs):
+                    answer = site.request(path, method="POST")
+                self.assertEqual(answer[0], 502)
+                self.assertNotIn("Fireflyroute-Response-Seal", answer[1])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/core/site_calls.h
+++ b/core/site_calls.h
@@ -73,6 +73,7 @@
     RequestId id; // of the request that it answers
     bool isSealed = false; // has the endpoint's seal; a response without it is discarded
     bool notExecuted = false; // the endpoint states that it did not run the request
+    bool statusDeniesRun = false; // callers read the status as a promise that it did not run
     bool wrongEndpoint = false; // the address now belongs to another endpoint
     bool isEncoded = false; // has a content encoding: the body is not what the endpoint sent
     std::optional<EndpointLoadReport> load;
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -39,14 +39,16 @@
 
 
 class Worker:
-    """A worker of one service. `faults` maps the last segment of a path to a simulated fault. The worker
-    ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
+    """A worker of one service. `faults` maps the last segment of a path to a simulated fault: its name,
+    or a function that is called with the worker and the request, and returns whether it responded. The
+    worker ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
 
     def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None):
         self.site, self.name, self.service, self.version = site, name, service, version
         self.faults, self.deadly_part = faults or {}, deadly_part
         self.crashes = 0
         self.ended_connections = 0  # closed by the entry in the middle of an endless answer
+        self.stale_writes = 0  # repetitions of an earlier response
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.runs = []  # (request id, path, headers) of each executed request
         worker = self
@@ -94,11 +96,18 @@
             self.reply(request, 421, {"Fireflyroute-Instance-Id": self.name})
             return
         fault = self.faults.get(request.path.rsplit("/", 1)[-1])
+        if callable(fault) and fault(self, request):
+            return
         if fault == "full":
             self.reply(request, 503, {"Fireflyroute-Not-Executed": "1"})
             return
-        self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
-                          dict(request.headers)))
+        self.record_run(request)
+        # What the worker writes on this connection before its next answer.
+        stale = request.__dict__.pop("stale_bytes", None)
+        if stale is not None:
+            self.stale_writes += 1
+            request.wfile.write(stale)
+            time.sleep(0.02)  # so that the answer arrives later
         prompt = request.headers.get("Fireflyroute-Prompt-Prefix") or ""
         if self.deadly_part and self.deadly_part + ":" in prompt:
             self.crashes += 1
@@ -119,6 +128,10 @@
             self.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL},
                        ("by " + self.name).encode())
 
+    def record_run(self, request):
+        self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
+                          dict(request.headers)))
+
     def reply(self, request, status, fields, body=b""):
         request.send_response(status)
         request.send_header("Fireflyroute-Request-Id",
