Use a connection once at most for requests with one id

Cause: only the request id tells a late response from the response to the current request. If a caller sends a request again under its id after a refusal, and the connection that carried the refused one is reused, a repetition of that refusal is taken for the answer to the request that now runs.

Change: a connection remembers the ids of its latest 32 requests, and the pool doesn't reuse it for these, nor any connection for a request without an id.

Result: in test_repeated_refusal_does_not_refuse_a_request_that_is_sent_again the caller got 503 for a request that the endpoint ran; now it gets 200.

--- a/app/endpoint_pool.cpp
+++ b/app/endpoint_pool.cpp
@@ -25,23 +25,38 @@
 
 } // namespace
 
-std::shared_ptr<net::EndpointConnection> EndpointPool::acquire(const core::EndpointRecord &endpoint)
+std::shared_ptr<net::EndpointConnection> EndpointPool::acquire(const core::EndpointRecord &endpoint,
+                                                               const core::RequestId &request)
 {
-    Connections &idle = idle_[endpoint.id];
-    while (!idle.empty()) {
-        std::shared_ptr<net::EndpointConnection> connection = std::move(idle.back());
-        idle.pop_back();
-        if (!isExpired(*connection)) {
-            ++reused_;
+    std::shared_ptr<net::EndpointConnection> connection = takeIdle(endpoint.id, request);
+    if (connection) {
+        ++reused_;
+    } else {
+        const auto address = net::parseAddress(endpoint.address);
+        if (!address)
+            return nullptr;
+        ++opened_;
+        connection = std::make_shared<net::EndpointConnection>(io_, address.value());
+    }
+    connection->recordRequestId(request.value());
+    return connection;
+}
+
+std::shared_ptr<net::EndpointConnection> EndpointPool::takeIdle(const core::EndpointId &endpoint,
+                                                                const core::RequestId &request)
+{
+    Connections &idle = idle_[endpoint];
+    for (auto it = idle.end(); it != idle.begin();) {
+        const std::shared_ptr<net::EndpointConnection> connection = *--it;
+        if (isExpired(*connection)) {
+            connection->cancel();
+            it = idle.erase(it);
+        } else if (!request.empty() && !connection->hasCarried(request.value())) {
+            idle.erase(it);
             return connection;
         }
-        connection->cancel();
     }
-    const auto address = net::parseAddress(endpoint.address);
-    if (!address)
-        return nullptr;
-    ++opened_;
-    return std::make_shared<net::EndpointConnection>(io_, address.value());
+    return nullptr;
 }
 
 void EndpointPool::release(const core::EndpointRecord &endpoint,
--- a/app/endpoint_pool.h
+++ b/app/endpoint_pool.h
@@ -20,10 +20,11 @@
         : io_(io)
     {}
 
-    // Returns the most recently used idle connection to the endpoint, or a new one. Null if the
-    // endpoint's address is invalid.
+    // Returns the most recently used idle connection to the endpoint that has not carried a request
+    // with the id, or a new one. A request without an id gets a new one. Null if the endpoint's
+    // address is invalid.
     [[nodiscard]] std::shared_ptr<net::EndpointConnection>
-    acquire(const core::EndpointRecord &endpoint);
+    acquire(const core::EndpointRecord &endpoint, const core::RequestId &request);
 
     // Returns a connection to the pool after a complete answer. Closes it if it is not reusable or
     // if enough connections are idle.
@@ -41,6 +42,9 @@
     [[nodiscard]] std::uint64_t reused() const { return reused_; }
 
 private:
+    [[nodiscard]] std::shared_ptr<net::EndpointConnection>
+    takeIdle(const core::EndpointId &endpoint, const core::RequestId &request);
+
     using Connections = std::vector<std::shared_ptr<net::EndpointConnection>>;
 
     boost::asio::io_context &io_;
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -270,7 +270,7 @@
 {
     attemptTracker_.recordStart();
     const core::EndpointRecord &endpoint = *pick.endpoint;
-    std::shared_ptr<net::EndpointConnection> connection = plane_.pool.acquire(endpoint);
+    std::shared_ptr<net::EndpointConnection> connection = plane_.pool.acquire(endpoint, meta_.id);
     if (!connection) {
         excludedEndpoints_.insert(endpoint.id);
         retryOrFail(core::AttemptOutcome::NotSent, "bad address");
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -16,6 +16,14 @@
 
 from platform_stand_in import EVENT_COUNT, SEAL, Site, call, wait_until  # noqa: E402
 
+
+def refusal(request, with_id=True, status=503):
+    """Returns the bytes with which a worker states that it did not run the request."""
+    identity = "Fireflyroute-Request-Id: %s\r\n" % request.headers["Fireflyroute-Request-Id"]
+    return ("HTTP/1.1 %d Refused\r\n%sFireflyroute-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+            % (status, identity if with_id else "")).encode()
+
+
 COMPLETE_STREAM = "".join("id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, EVENT_COUNT + 1))
 
 
@@ -291,6 +299,32 @@
                 run[1][-1] in faults for run in worker.runs) for worker in (workers[0], workers[2])),
                 "each endless answer is given up")
 
+    # Guards against a repeated refusal that is taken for the answer to a request with the same id.
+    def test_repeated_refusal_does_not_refuse_a_request_that_is_sent_again(self):
+        def refuse_first(worker, request):
+            if worker.refusals:
+                return False
+            worker.refusals += 1
+            request.stale_bytes = refusal(request)
+            request.wfile.write(refusal(request))
+            return True
+
+        with Site(30) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "ledger", faults={"x": refuse_first})
+            worker.refusals = 0
+            site.wait_until_served("/calls/1")
+            fields = {"Fireflyroute-Request-Id": "again"}
+
+            def runs():
+                return [run[0] for run in worker.runs].count("again")
+
+            self.assertEqual(site.request("/refunds/x", method="POST", headers=fields)[0], 503)
+            while not runs():
+                status = site.request("/refunds/x", method="POST", headers=fields)[0]
+                self.assertEqual(status, 200 if runs() else 503)
+            self.assertEqual(runs(), 1)
+
     # Guards against answers whose status says that a request did not run, from a worker that ran it.
     def test_worker_that_ran_a_request_can_not_refuse_it(self):
         def run_and_answer(status):
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -105,6 +106,19 @@
         connect(connectTimeout);
 }
 
+void EndpointConnection::recordRequestId(std::string_view requestId)
+{
+    requestHashes_[requestCount_++ % kRememberedRequests] =
+            std::hash<std::string_view>()(requestId);
+}
+
+bool EndpointConnection::hasCarried(std::string_view requestId) const
+{
+    const auto end = requestHashes_.begin()
+                     + static_cast<std::ptrdiff_t>(std::min(requestCount_, kRememberedRequests));
+    return std::find(requestHashes_.begin(), end, std::hash<std::string_view>()(requestId)) != end;
+}
+
 void EndpointConnection::connect(std::chrono::milliseconds timeout)
 {
     timer_.expires_after(timeout);
--- a/net/endpoint_connection.h
+++ b/net/endpoint_connection.h
@@ -85,6 +85,11 @@
     // Cancels the exchange and closes the connection. No handler is called afterwards.
     void cancel();
 
+    // Records the id of the next request. A late response to one of the latest requests is told
+    // from the response to the current request only if their ids differ.
+    void recordRequestId(std::string_view requestId);
+    [[nodiscard]] bool hasCarried(std::string_view requestId) const;
+
     // Whether another request can be sent now.
     [[nodiscard]] bool isReusable() const { return reusable_ && open_ && !exchangeActive_; }
 
@@ -95,6 +100,8 @@
 private:
     struct Parser;
 
+    static constexpr std::size_t kRememberedRequests = 32;
+
     void connect(std::chrono::milliseconds timeout);
     void write();
     void awaitReadable();
@@ -119,6 +126,9 @@
     std::unique_ptr<Parser> parser_; // parser of the current response
     std::chrono::steady_clock::time_point idleSince_{};
     std::chrono::seconds keepAliveTimeout_; // idle time-out of the endpoint
+    // Hashes of the ids of the latest requests; the oldest is overwritten.
+    std::array<std::size_t, kRememberedRequests> requestHashes_{};
+    std::size_t requestCount_ = 0;
     int skippedResponses_ = 0; // during this exchange
     bool connected_ = false;
     bool open_ = true;
