Test repeated refusals with real processes

Two endpoints refuse each request once and write that refusal again: together with the first, while the connection is idle, or after the next request was sent; with the earlier id or none, and with 503, 429 or 421. All requests are non-idempotent; each is answered with 200 and runs once.

Proof: without the check of the request id, in a scratch edit of ProxyRequest::handlers, callers get 503 and the test fails.

--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -299,6 +299,55 @@
                 run[1][-1] in faults for run in worker.runs) for worker in (workers[0], workers[2])),
                 "each endless answer is given up")
 
+    # Guards against a worker that writes an earlier refusal once more on a kept connection: it was taken
+    # for the answer to a request that the worker ran.
+    def test_repeated_refusal_refuses_no_later_request(self):
+        refused = set()
+
+        def refuse(pause=None, **options):
+            """Refuses a request at its first worker and writes the refusal again: after a pause, or just
+            before the next answer on the connection."""
+            def respond(worker, request):
+                request_id = request.headers["Fireflyroute-Request-Id"]
+                if request_id in refused:
+                    return False
+                refused.add(request_id)
+                repeated = refusal(request, **options)
+                request.wfile.write(refusal(request) + (repeated if pause == 0 else b""))
+                if pause is None:
+                    request.stale_bytes = repeated
+                    return True
+                time.sleep(pause)
+                if pause:
+                    request.wfile.write(repeated)
+                worker.stale_writes += 1
+                return True
+            return respond
+
+        faults = {"at-once": refuse(pause=0), "idle": refuse(pause=0.02), "later": refuse(),
+                  "later-no-id": refuse(with_id=False), "later-429": refuse(status=429),
+                  "later-421": refuse(status=421),
+                  "later-421-no-id": refuse(status=421, with_id=False)}
+        with Site(30) as site:
+            site.configure(1)
+            workers = [site.worker("i-%d" % number, "ledger", faults=faults) for number in (1, 2)]
+            site.wait_until_served("/calls/1")
+            wait_until(lambda: site.request("/calls/1") and all(worker.runs for worker in workers),
+                       "both workers are used")
+            for name in faults:
+                before = sum(worker.stale_writes for worker in workers)
+
+                def refunds_are_answered(name=name, before=before):
+                    self.assertEqual(site.request("/refunds/" + name, method="POST")[0], 200)
+                    for _ in range(4):
+                        self.assertEqual(site.request("/refunds/1", method="POST")[0], 200)
+                    return sum(worker.stale_writes for worker in workers) > before
+
+                wait_until(refunds_are_answered, "a refusal is repeated: " + name)
+            refunds = [run[0] for worker in workers for run in worker.runs
+                       if run[1].startswith("/refunds/")]
+            self.assertEqual(len(refunds), len(set(refunds)))
+
     # Guards against a repeated refusal that is taken for the answer to a request with the same id.
     def test_repeated_refusal_does_not_refuse_a_request_that_is_sent_again(self):
         def refuse_first(worker, request):
