Relay the events before a gap in a stream

Cause: events that had arrived in one segment with a gap behind them, or with an oversized event, were accepted, which moves the point at which the next endpoint resumes, and were then dropped with the attempt. The caller's stream lacked them and ended as complete.

Change: accepted events are relayed before the attempt fails.

Result: in test_events_before_a_gap_are_relayed the caller's stream lacked events 1 and 2 of 12; now it is whole, after two attempts as before. Simulated workers can frame an answer in several ways.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -90,6 +90,7 @@
     void onHead(const net::HttpResponseHead &head);
     void onBody(std::string_view piece);
     void onEvents(std::string_view piece);
+    void relayEvents(std::string_view relayed);
     [[nodiscard]] std::string takeBody();
     [[nodiscard]] bool isTooLarge() const;
     void onEnd(net::ResponseEnd end);
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -474,23 +474,30 @@
 void ProxyRequest<Dialect>::onEvents(std::string_view piece)
 {
     std::string relayed;
+    std::string_view fault;
     for (const core::StreamEvent &event : attempt_->splitter.push(piece)) {
         const core::SpliceDecision decision = streamSplice_.accept(event);
         if (decision == core::SpliceDecision::Gap) {
-            failAttempt(core::AttemptOutcome::Discarded, "gap in the stream", false);
-            return;
+            fault = "gap in the stream";
+            break;
         }
         if (decision == core::SpliceDecision::Relay) {
             relayed += event.bytes;
             ++attempt_->relayedEvents;
         }
     }
-    if (attempt_->splitter.isOversized()) {
-        failAttempt(core::AttemptOutcome::Discarded, "event too large", false);
-        return;
-    }
-    if (relayed.empty())
-        return;
+    if (attempt_->splitter.isOversized())
+        fault = "event too large";
+    // The accepted events count as received by the caller, also if the attempt fails after them.
+    if (!relayed.empty())
+        relayEvents(relayed);
+    if (!fault.empty())
+        failAttempt(core::AttemptOutcome::Discarded, fault, false);
+}
+
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::relayEvents(std::string_view relayed)
+{
     if (!attempt_->hasEvent) {
         attempt_->hasEvent = true;
         attempt_->firstEventAt = attempt_->lastProgressAt;
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -396,6 +396,30 @@
                 self.assertEqual(answer[0], 502)
                 self.assertNotIn("Fireflyroute-Response-Seal", answer[1])
 
+    # Guards against events that were lost because a gap followed them in the same segment: they counted
+    # as received, and the next endpoint went on after them.
+    def test_events_before_a_gap_are_relayed(self):
+        def send_gap(worker, request):
+            if request.headers.get("Last-Event-Id"):
+                return False
+            worker.record_run(request)
+            worker.answer(request, 200, {"Fireflyroute-Response-Seal": SEAL,
+                                         "Content-Type": "text/event-stream"},
+                          b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in (1, 2, 4)),
+                          "chunked", False)
+            return True
+
+        with Site(32) as site:
+            site.configure(1)
+            workers = [site.worker("i-%d" % number, "llm", faults={"gap": send_gap})
+                       for number in range(2)]
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            self.assertEqual(site.request("/drafts/gap", headers=fields)[2], COMPLETE_STREAM)
+            self.assertEqual(sum(run[1] == "/drafts/gap" for worker in workers
+                                 for run in worker.runs), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -142,6 +143,34 @@
         request.end_headers()
         request.wfile.write(body)
 
+    def answer(self, request, status, fields, body, framing, resets):
+        """Sends a response whose end is marked by its length, by chunks, or by the end of its connection,
+        which may be a reset."""
+        request.send_response(status)
+        request.send_header("Fireflyroute-Request-Id",
+                            request.headers["Fireflyroute-Request-Id"])
+        for name, value in fields.items():
+            request.send_header(name, value)
+        if framing == "length":
+            request.send_header("Content-Length", str(len(body)))
+        elif framing == "chunked":
+            request.send_header("Transfer-Encoding", "chunked")
+            body = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+        request.end_headers()
+        request.wfile.write(body)
+        request.close_connection = framing == "close"
+        if resets:
+            self.reset(request)
+        elif framing == "close":
+            request.connection.shutdown(socket.SHUT_RDWR)
+
+    def reset(self, request):
+        """Ends the connection with a reset, after the entry has read what was sent."""
+        time.sleep(0.02)
+        request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        request.rfile.close()
+        request.connection.close()
+
     def send_endless(self, request, status):
         """Sends bytes of no meaning until the entry closes the connection."""
         request.send_response(status)
