Relay numbered events only

An endpoint that answered a resumed stream with an error text or a message head in its body put these into the caller's stream; a cut event, continued by a message head, became one event with it.

Change: each line must have the form of a field or comment, and an event with content must have an id that is a number. Anything else ends the attempt, and the stream resumes elsewhere or is broken off. The names of fields aren't restricted, since the platform adds one of its own.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -477,10 +477,12 @@
     std::string_view fault;
     for (const core::StreamEvent &event : attempt_->splitter.push(piece)) {
         const core::SpliceDecision decision = streamSplice_.accept(event);
-        if (decision == core::SpliceDecision::Gap) {
+        if (decision == core::SpliceDecision::Gap)
             fault = "gap in the stream";
+        else if (decision == core::SpliceDecision::Foreign)
+            fault = "no event of the stream";
+        if (!fault.empty())
             break;
-        }
         if (decision == core::SpliceDecision::Relay) {
             relayed += event.bytes;
             ++attempt_->relayedEvents;
--- a/core/event_stream.cpp
+++ b/core/event_stream.cpp
@@ -24,26 +24,55 @@
     return std::string_view::npos;
 }
 
-std::optional<std::uint64_t> parseEventId(std::string_view event)
+// Removes the first line and its end from the text and returns it without the end.
+std::string_view takeLine(std::string_view &text)
 {
-    constexpr std::string_view kIdField = "id:";
-    std::size_t at = 0;
-    while (at < event.size()) {
-        const std::size_t end = event.find('\n', at);
-        std::string_view line = event.substr(at, end - at);
-        if (line.starts_with(kIdField)) {
-            line.remove_prefix(kIdField.size());
-            while (line.starts_with(' '))
-                line.remove_prefix(1);
-            std::uint64_t id = 0;
-            const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
-            return parsed.ec == std::errc() ? std::optional(id) : std::nullopt;
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+// Names of fields are lower case, unlike those of a message head. A comment has an empty name.
+bool isFieldName(std::string_view name)
+{
+    return std::all_of(name.begin(), name.end(),
+                       [](char c) { return (c >= 'a' && c <= 'z') || c == '-'; });
+}
+
+std::optional<std::uint64_t> parseEventId(std::string_view value)
+{
+    while (value.starts_with(' '))
+        value.remove_prefix(1);
+    std::uint64_t id = 0;
+    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == value.data() + value.size();
+    return isNumber ? std::optional(id) : std::nullopt;
+}
+
+StreamEvent parseEvent(std::string_view bytes)
+{
+    StreamEvent event;
+    event.bytes = std::string(bytes);
+    bool hasContent = false;
+    while (!bytes.empty()) {
+        const std::string_view line = takeLine(bytes);
+        if (line.empty())
+            continue;
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !isFieldName(line.substr(0, colon))) {
+            event.isWellFormed = false;
+            continue;
         }
-        if (end == std::string_view::npos)
-            break;
-        at = end + 1;
+        const std::string_view name = line.substr(0, colon);
+        if (name == "id" && !event.id)
+            event.id = parseEventId(line.substr(colon + 1));
+        hasContent = hasContent || !name.empty();
     }
-    return std::nullopt;
+    event.isWellFormed = event.isWellFormed && (event.id || !hasContent);
+    return event;
 }
 
 } // namespace
@@ -56,10 +85,7 @@
     std::string_view remaining = pending_;
     for (std::size_t end = endOfEvent(remaining, searchFrom_); end != std::string_view::npos;
          end = endOfEvent(remaining, searchFrom_)) {
-        StreamEvent event;
-        event.bytes = std::string(remaining.substr(0, end));
-        event.id = parseEventId(event.bytes);
-        events.push_back(std::move(event));
+        events.push_back(parseEvent(remaining.substr(0, end)));
         remaining.remove_prefix(end);
         searchFrom_ = 0;
     }
@@ -71,6 +97,8 @@
 
 SpliceDecision StreamSplice::accept(const StreamEvent &event)
 {
+    if (!event.isWellFormed)
+        return SpliceDecision::Foreign;
     if (!event.id)
         return SpliceDecision::Relay;
     if (lastId_ && *event.id <= *lastId_)
--- a/core/event_stream.h
+++ b/core/event_stream.h
@@ -27,6 +27,8 @@
 {
     std::string bytes;
     std::optional<std::uint64_t> id;
+    // Whether each line has the form of a field or comment, and an event with content has an id.
+    bool isWellFormed = true;
 
     bool operator==(const StreamEvent &) const = default;
 };
@@ -51,9 +53,10 @@
     std::size_t searchFrom_ = 0; // no event of pending_ ends before this position
 };
 
-// Relay: the next event in order, or an event without an id. Repeated: the caller already received
-// it. Gap: earlier events are missing.
-enum class SpliceDecision { Relay, Repeated, Gap };
+// Relay: the next event in order, or a comment. Repeated: the caller already received it. Gap:
+// earlier events are missing. Foreign: no event of a numbered stream, but an error text, for
+// example.
+enum class SpliceDecision { Relay, Repeated, Gap, Foreign };
 
 template<>
 struct EnumNames<SpliceDecision>
@@ -62,6 +65,7 @@
             EnumName{SpliceDecision::Relay, "relay"},
             EnumName{SpliceDecision::Repeated, "repeated"},
             EnumName{SpliceDecision::Gap, "gap"},
+            EnumName{SpliceDecision::Foreign, "foreign"},
     };
 };
 
--- a/core/testing/event_stream_test.cpp
+++ b/core/testing/event_stream_test.cpp
@@ -82,6 +82,33 @@
     BOOST_TEST(splice.lastEvent().value() == 3U);
 }
 
+// Guards against an error text or a message head in the middle of a caller's stream, also if it
+// continues a line of an incomplete event.
+BOOST_AUTO_TEST_CASE(splice_rejects_what_is_no_event_of_a_stream)
+{
+    const auto decisionOn = [](const std::string &text) {
+        EventSplitter splitter;
+        StreamSplice splice(4);
+        const std::vector<StreamEvent> events = splitter.push(text);
+        BOOST_REQUIRE(events.size() == 1U);
+        return splice.accept(events.front());
+    };
+    const std::string head = "HTTP/1.1 500 Internal\r\nContent-Length: 4\r\n\r\n";
+    for (const std::string &text :
+         {std::string("upstream failed\n\n"), std::string("{\"error\": 5}\n\n"),
+          std::string("event: error\ndata: failed\n\n"), std::string("data: failed\n\n"),
+          std::string("id: five\ndata: x\n\n"), head, "id: 5" + head, "id: 5\n" + head,
+          "id: 5\ndata: tok" + head, "id: 5\nda" + head})
+        BOOST_TEST_CONTEXT(text)
+    BOOST_TEST((decisionOn(text) == SpliceDecision::Foreign));
+    for (const std::string &text :
+         {std::string("id: 5\ndata: HTTP/1.1 500: x\n\n"),
+          std::string("weight-versions: 3\nid: 5\ndata: x\n\n"),
+          std::string("id:5\r\nevent: token\r\ndata:\r\n\r\n"), std::string(": comment\n\n")})
+        BOOST_TEST_CONTEXT(text)
+    BOOST_TEST((decisionOn(text) == SpliceDecision::Relay));
+}
+
 BOOST_AUTO_TEST_CASE(splice_resumes_after_last_event_of_caller)
 {
     StreamSplice splice(12);
