Continue a stream only with an answer of its kind

Cause: any sealed success continued a stream that another endpoint had begun. An empty answer or one with status 204 or another media type ended the caller's stream as if it were complete, and the body of a success that bore the statement that the request did not run was relayed.

Change: a stream's answer has status 200 and, in the middle of a stream, the media type of its start. A success with that statement contradicts itself and is discarded.

Errors by status (301, 404, 429, 500, 503; with length, in chunks, ended by close or reset) never reached the caller's stream.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -99,6 +99,7 @@
     void onCallerDisconnected();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
+    [[nodiscard]] bool isStreamAnswer(const net::HttpResponseHead &head) const;
     [[nodiscard]] std::optional<std::size_t> escalationTarget();
     [[nodiscard]] core::ExpectedAnswer
     expectedAnswer(std::size_t model, const core::PickResult &pick, core::Instant now);
@@ -109,6 +110,7 @@
     void failAttempt(core::AttemptOutcome outcome, std::string_view cause, bool isSevere);
     void retryOrFail(core::AttemptOutcome outcome, std::string_view cause);
     void retryOrForwardError();
+    void beginStream();
     void finishStream();
     void recordEventInterval();
     void recordAnswered();
@@ -141,6 +143,7 @@
     core::StreamSplice streamSplice_;
     std::size_t model_ = 0; // index into route_->models
     core::AttemptTracker attemptTracker_;
+    std::string streamMediaType_; // of the stream that the caller receives
     bool responseStarted_ = false; // part of the response was sent to the caller
     bool finished_ = false;
     bool isCounted_ = false; // recorded as a request of its service
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -58,6 +58,7 @@
 constexpr std::size_t kMaxBufferedBytes = 8U << 20U;
 constexpr std::size_t kLargeAnswerBytes = 256U << 10U;
 
+constexpr unsigned kStreamStatus = 200;
 constexpr unsigned kFirstNonSuccessStatus = 300;
 constexpr unsigned kFirstServerError = 500;
 
@@ -339,7 +340,7 @@
     if (attempt_->meta.load)
         plane_.monitor.recordLoad(attempt_->endpoint.id, *attempt_->meta.load, now);
     // An error response is read to its end, so that the connection can be reused.
-    if (attempt_->meta.notExecuted || head.status >= proxy::kFirstNonSuccessStatus)
+    if (head.status >= proxy::kFirstNonSuccessStatus)
         return;
     if (!isValidAnswer(*attempt_)) {
         failAttempt(core::AttemptOutcome::Discarded, "unsound answer", false);
@@ -354,7 +355,20 @@
 template<TrafficDialect Dialect>
 bool ProxyRequest<Dialect>::isValidAnswer(const Attempt &attempt) const
 {
-    return attempt.meta.isSealed && !attempt.meta.isEncoded;
+    // A success that states that the request did not run contradicts itself.
+    const bool isSound =
+            attempt.meta.isSealed && !attempt.meta.isEncoded && !attempt.meta.notExecuted;
+    return isSound && (!isStream() || isStreamAnswer(attempt.head));
+}
+
+// Whether the answer has the status of a stream and, if another endpoint began the stream, the same
+// media type.
+template<TrafficDialect Dialect>
+bool ProxyRequest<Dialect>::isStreamAnswer(const net::HttpResponseHead &head) const
+{
+    const std::string *mediaType = net::findField(head.fields, "Content-Type");
+    return head.status == proxy::kStreamStatus
+           && (!responseStarted_ || (mediaType ? *mediaType : "") == streamMediaType_);
 }
 
 // Returns the larger model that should answer instead, or nothing. Only possible as long as no part
@@ -508,10 +522,7 @@
         plane_.recordOutcome(attempt_->endpoint, route_->name, true, latency);
         recordAnswered();
     }
-    if (!responseStarted_) {
-        responseStarted_ = true;
-        session_->beginStream({attempt_->head.status, responseFields()});
-    }
+    beginStream();
     session_->writeChunk(relayed);
 }
 
@@ -591,15 +602,23 @@
         failAttempt(core::AttemptOutcome::Discarded, "ended within an event", false);
         return;
     }
-    if (!responseStarted_) {
-        responseStarted_ = true;
-        session_->beginStream({attempt_->head.status, responseFields()});
-    }
+    beginStream();
     ++plane_.counts.answered;
     session_->endStream();
     finish("answered", attempt_->head.status);
 }
 
+// Sends the head of the caller's stream, once.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::beginStream()
+{
+    if (std::exchange(responseStarted_, true))
+        return;
+    if (const std::string *mediaType = net::findField(attempt_->head.fields, "Content-Type"))
+        streamMediaType_ = *mediaType;
+    session_->beginStream({attempt_->head.status, responseFields()});
+}
+
 // The endpoint did not crash on the request.
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::recordAnswered()
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -1,6 +1,7 @@
 """Process tests of a site on the users' platform: control VMs and an entry over loopback, with
 stand-ins for workers and the operator."""
 
+import http.client
 import itertools
 import json
 import os
@@ -420,6 +421,68 @@
             self.assertEqual(sum(run[1] == "/drafts/gap" for worker in workers
                                  for run in worker.runs), 2)
 
+    # Guards against an error of the endpoint that was to resume a stream: its text stood in the middle of
+    # the stream, or the stream ended as if it were complete.
+    def test_failed_resumption_leaves_a_stream_visibly_broken(self):
+        sealed = {"Fireflyroute-Response-Seal": SEAL}
+        events = dict(sealed, **{"Content-Type": "text/event-stream"})
+        text = dict(sealed, **{"Content-Type": "text/plain"})
+        error = b"HTTP/1.1 500 Internal\r\nContent-Length: 4\r\n\r\nupstream failed\n\n"
+        event = b"id: 5\ndata: token-5\n\n"
+        answers = {}  # status, fields, body, framing, whether the connection is reset at the end
+        for status in (301, 404, 429, 500, 503):
+            for framing in ("length", "chunked", "close"):
+                answers["%d-%s" % (status, framing)] = (status, sealed, error + event, framing, False)
+            answers["%d-reset" % status] = (status, sealed, error + event, "close", True)
+        refused = dict(events, **{"Fireflyroute-Not-Executed": "1"})
+        answers.update({
+            "refused": (503, refused, event, "length", False),
+            "refused-200": (200, refused, event, "chunked", False),
+            "unsealed": (200, {"Content-Type": "text/event-stream"}, event, "chunked", False),
+            "empty-204": (204, events, b"", "length", False),
+            "other-type": (200, text, event, "length", False),
+            "other-type-empty": (200, text, b"", "length", False),
+            "text": (200, events, b"upstream failed\n\n", "chunked", False),
+            "head": (200, events, error, "chunked", False),
+            "json": (200, events, b'{"error": "failed"}\n\n', "chunked", False),
+            "event-without-id": (200, events, b"event: error\ndata: failed\n\n", "chunked", False),
+            "part-of-event": (200, events, event[:-1], "close", False),
+            "no-event-reset": (200, events, b"", "close", True),
+            "line-in-event": (200, events, b"id: 5\ndata: tokHTTP/1.1 500 Internal\r\n"
+                              b"Content-Length: 4\r\n\r\nfull", "close", False),
+        })
+
+        def resume(worker, request):
+            if "Last-Event-Id" not in request.headers:
+                worker.record_run(request)
+                worker.stream(request, "break" if request.headers["Fireflyroute-Model"] == "large"
+                              else None)
+            else:
+                resumed.add(request.path.rsplit("/", 1)[-1])
+                worker.answer(request, *answers[request.path.rsplit("/", 1)[-1]])
+            return True
+
+        resumed = set()
+        with Site(33) as site:
+            site.configure(1)
+            for number in range(3):
+                site.worker("i-%d" % number, "llm", faults={name: resume for name in answers})
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            before = "".join("id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, 5))
+            for name in answers:
+                with self.subTest(name):
+                    def is_resumed(name=name):
+                        try:
+                            status, _, body = site.request("/drafts/" + name, headers=fields)
+                        except http.client.IncompleteRead as broken:
+                            self.assertEqual(broken.partial.decode(), before)
+                        else:
+                            self.assertNotEqual(status, 200, "the stream looks complete: " + body)
+                        return name in resumed
+                    wait_until(is_resumed, "the stream is resumed")
+
 
 if __name__ == "__main__":
     unittest.main()
