--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -305,7 +305,9 @@
         for (const std::string rest :
              {"Content-Length: 5\r\n\r\nhello",
               "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"}) {
-            const std::string answer = informational + head + rest;
+            std::string answer = informational;
+            answer += head;
+            answer += rest;
             const std::size_t headSize = answer.rfind("\r\n\r\n", answer.find("hello")) + 4;
             for (std::size_t size = 0; size < answer.size(); ++size) {
                 BOOST_TEST_CONTEXT("cut after " << answer.substr(0, size))
