Test answers that are cut off with real processes

An endpoint stops within its status line, a field's name or value, between fields, after the first byte of the blank line, also after an informational response, within its body or a chunk's size, and closes or resets. Callers of calls get 502, of streams 502 or a visibly broken stream; no success.

--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -483,6 +483,74 @@
                         return name in resumed
                     wait_until(is_resumed, "the stream is resumed")
 
+    # Guards against a worker that stops in the middle of its answer and closes: callers got a success with
+    # an empty or short body that looked complete.
+    def test_answer_that_is_cut_off_is_no_success(self):
+        def head(request, *lines):
+            return "\r\n".join(
+                ("HTTP/1.1 200 OK", "Fireflyroute-Request-Id: "
+                 + request.headers["Fireflyroute-Request-Id"], "Fireflyroute-Response-Seal: " + SEAL)
+                + lines) + "\r\n"
+
+        early = "HTTP/1.1 100 Continue\r\n\r\n"
+        cuts = {
+            "status-line": lambda request: "HTTP/1.1 20",
+            "after-status-line": lambda request: "HTTP/1.1 200 OK\r\n",
+            "field-name": lambda request: head(request, "Content-Le")[:-2],
+            "field-value": lambda request: head(request, "Content-Length: 1")[:-2],
+            "between-fields": lambda request: head(request),
+            "blank-line": lambda request: head(request) + "\r",
+            "after-early": lambda request: early,
+            "field-name-after-early": lambda request: early + head(request, "Content-Le")[:-2],
+            "blank-line-after-early": lambda request: early + head(request) + "\r",
+            "body": lambda request: head(request, "Content-Length: 99") + "\r\nid: 1\ndata: x\n\n",
+            "no-body": lambda request: head(request, "Content-Length: 99") + "\r\n",
+            "chunk-size": lambda request: head(request, "Transfer-Encoding: chunked")
+            + "\r\nf\r\nid: 1\ndata: x\n\n\r\n1",
+            "last-chunk": lambda request: head(request, "Transfer-Encoding: chunked")
+            + "\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n",
+        }
+
+        def cut_off(cut, resets):
+            def respond(worker, request):
+                if "Last-Event-Id" in request.headers:
+                    return False
+                worker.record_run(request)
+                request.wfile.write(cut(request).encode())
+                request.close_connection = True
+                if resets:
+                    worker.reset(request)
+                else:
+                    request.connection.shutdown(socket.SHUT_RDWR)
+                return True
+            return respond
+
+        faults = {name + ending: cut_off(cut, bool(ending))
+                  for name, cut in cuts.items() for ending in ("", "-reset")}
+        with Site(32) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "ledger", faults=faults)
+            streamer = site.worker("i-2", "llm", faults=faults)
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            site.wait_until_served("/calls/1")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            for prefix, method in (("/calls/", "GET"), ("/refunds/", "POST"), ("/drafts/", "GET")):
+                for name in faults:
+                    with self.subTest(prefix + name):
+                        def has_run(path=prefix + name):
+                            return any(run[1] == path for run in worker.runs + streamer.runs)
+
+                        def is_cut_off(path=prefix + name, method=method):
+                            try:
+                                status, _, body = site.request(
+                                    path, method, headers=fields if path[1] == "d" else None)
+                            except http.client.IncompleteRead:
+                                pass  # the stream began and is visibly broken
+                            else:
+                                self.assertEqual(status, 502 if has_run() else 503, body)
+                            return has_run()
+                        wait_until(is_cut_off, "the answer is cut off")
+
 
 if __name__ == "__main__":
     unittest.main()
