--- a/app/endpoint_path.cpp
+++ b/app/endpoint_path.cpp
@@ -31,7 +31,8 @@
 {}
 
 std::optional<EndpointExchange> EndpointPath::start(const core::EndpointRecord &endpoint,
-                                                    bool mayProbe, std::function<void()> onPathLost,
+                                                    const core::RequestId &request, bool mayProbe,
+                                                    std::function<void()> onPathLost,
                                                     core::Instant now)
 {
     EndpointExchange exchange;
@@ -41,9 +42,9 @@
     const bool isRelayed = !exchange.isProbe && canRelay(now);
     const bool mayReuseDirect = !exchange.isProbe && monitor_.state() != core::PathState::Silent;
     if (mayReuseDirect)
-        exchange.connection = pool_.takeIdle(endpoint.id, ConnectionPath::Direct);
+        exchange.connection = pool_.takeIdle(endpoint.id, request, ConnectionPath::Direct);
     if (!exchange.connection && isRelayed)
-        exchange.connection = pool_.takeIdle(endpoint.id, ConnectionPath::Relayed);
+        exchange.connection = pool_.takeIdle(endpoint.id, request, ConnectionPath::Relayed);
     if (!exchange.connection) {
         exchange.opensConnection = true;
         if (isRelayed) {
@@ -52,8 +53,9 @@
         } else if (exchange.isProbe) {
             exchange.connectTimeout = kProbeConnectTimeout;
         }
-        exchange.connection = pool_.open(
-                endpoint, exchange.newRelay ? settings_.relayAddress(*exchange.newRelay) : "");
+        exchange.connection =
+                pool_.open(endpoint, request,
+                           exchange.newRelay ? settings_.relayAddress(*exchange.newRelay) : "");
         if (!exchange.connection)
             return std::nullopt;
     }
--- a/app/endpoint_path.h
+++ b/app/endpoint_path.h
@@ -2,8 +2,8 @@
 // endpoints, through another entry of the site. Decisions on requests don't depend on it. Used by
 // the traffic thread only.
 //
-//   std::optional<EndpointExchange> exchange = path.start(endpoint, mayProbe, onPathLost, now);
-//   exchange->connection->send(bytes, handlers, exchange->connectTimeout);
+//   std::optional<EndpointExchange> exchange = path.start(endpoint, request, mayProbe, onPathLost,
+//   now); exchange->connection->send(bytes, handlers, exchange->connectTimeout);
 //   path.recordBytes(*exchange, now);
 //   if (path.recordFailure(*exchange, endpoint.id, failure, now)) // the endpoint is at fault
 //   path.end(*exchange);
@@ -54,10 +54,9 @@
 
     // Starts an exchange. Nothing if the endpoint's address is invalid. `onPathLost` is called if
     // the path of a direct exchange is lost before end().
-    [[nodiscard]] std::optional<EndpointExchange> start(const core::EndpointRecord &endpoint,
-                                                        bool mayProbe,
-                                                        std::function<void()> onPathLost,
-                                                        core::Instant now);
+    [[nodiscard]] std::optional<EndpointExchange>
+    start(const core::EndpointRecord &endpoint, const core::RequestId &request, bool mayProbe,
+          std::function<void()> onPathLost, core::Instant now);
 
     // Bytes of the endpoint were received.
     void recordBytes(EndpointExchange &exchange, core::Instant now);
--- a/app/endpoint_pool.cpp
+++ b/app/endpoint_pool.cpp
@@ -27,22 +27,27 @@
 } // namespace
 
 std::shared_ptr<net::EndpointConnection> EndpointPool::takeIdle(const core::EndpointId &id,
+                                                                const core::RequestId &request,
                                                                 ConnectionPath path)
 {
     Connections &idle = idle_[{id, path}];
-    while (!idle.empty()) {
-        std::shared_ptr<net::EndpointConnection> connection = std::move(idle.back());
-        idle.pop_back();
-        if (!isExpired(*connection)) {
+    for (auto it = idle.end(); it != idle.begin();) {
+        const std::shared_ptr<net::EndpointConnection> connection = *--it;
+        if (isExpired(*connection)) {
+            connection->cancel();
+            it = idle.erase(it);
+        } else if (!request.empty() && !connection->hasCarried(request.value())) {
+            idle.erase(it);
             ++reused_;
+            connection->recordRequestId(request.value());
             return connection;
         }
-        connection->cancel();
     }
     return nullptr;
 }
 
 std::shared_ptr<net::EndpointConnection> EndpointPool::open(const core::EndpointRecord &endpoint,
+                                                            const core::RequestId &request,
                                                             const std::string &relay)
 {
     const auto address = net::parseAddress(endpoint.address);
@@ -56,7 +61,9 @@
         relayAddress = parsed.value();
     }
     ++opened_;
-    return std::make_shared<net::EndpointConnection>(io_, address.value(), relayAddress);
+    auto connection = std::make_shared<net::EndpointConnection>(io_, address.value(), relayAddress);
+    connection->recordRequestId(request.value());
+    return connection;
 }
 
 void EndpointPool::release(const core::EndpointRecord &endpoint,
--- a/app/endpoint_pool.h
+++ b/app/endpoint_pool.h
@@ -24,14 +24,16 @@
         : io_(io)
     {}
 
-    // Takes the most recently used idle connection to the endpoint. Null if there is none.
-    [[nodiscard]] std::shared_ptr<net::EndpointConnection> takeIdle(const core::EndpointId &id,
-                                                                    ConnectionPath path);
+    // Takes the most recently used idle connection to the endpoint that has not carried a request
+    // with the id. Null if there is none, and for a request without an id.
+    [[nodiscard]] std::shared_ptr<net::EndpointConnection>
+    takeIdle(const core::EndpointId &id, const core::RequestId &request, ConnectionPath path);
 
-    // Returns a new connection to the endpoint, through the relay at "IP:PORT" if it is not empty.
-    // Null if an address is invalid.
+    // Returns a new connection to the endpoint for the request, through the relay at "IP:PORT" if
+    // it is not empty. Null if an address is invalid.
     [[nodiscard]] std::shared_ptr<net::EndpointConnection>
-    open(const core::EndpointRecord &endpoint, const std::string &relay);
+    open(const core::EndpointRecord &endpoint, const core::RequestId &request,
+         const std::string &relay);
 
     // Returns a connection to the pool after a complete answer. Closes it if it is not reusable or
     // if enough connections are idle.
--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -90,6 +90,7 @@
     void onHead(const net::HttpResponseHead &head);
     void onBody(std::string_view piece);
     void onEvents(std::string_view piece);
+    void relayEvents(std::string_view relayed);
     [[nodiscard]] std::string takeBody();
     [[nodiscard]] bool isTooLarge() const;
     void onEnd(net::ResponseEnd end);
@@ -100,6 +101,7 @@
     void onPathLost();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
+    [[nodiscard]] bool isStreamAnswer(const net::HttpResponseHead &head) const;
     [[nodiscard]] std::optional<std::size_t> escalationTarget();
     [[nodiscard]] core::ExpectedAnswer
     expectedAnswer(std::size_t model, const core::PickResult &pick, core::Instant now);
@@ -120,6 +122,7 @@
     void waitForEndpoint(bool consumesBudget);
     void waitForAnyEndpoint();
     void retryOrForwardError();
+    void beginStream();
     void finishStream();
     void recordEventInterval();
     void recordAnswered();
@@ -156,6 +159,7 @@
     core::StreamSplice streamSplice_;
     std::size_t model_ = 0; // index into route_->models
     core::AttemptTracker attemptTracker_;
+    std::string streamMediaType_; // of the stream that the caller receives
     bool responseStarted_ = false; // part of the response was sent to the caller
     bool finished_ = false;
     bool isCounted_ = false; // recorded as a request of its service
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -60,6 +60,7 @@
 constexpr std::size_t kMaxBufferedBytes = 8U << 20U;
 constexpr std::size_t kLargeAnswerBytes = 256U << 10U;
 
+constexpr unsigned kStreamStatus = 200;
 constexpr unsigned kFirstNonSuccessStatus = 300;
 constexpr unsigned kFirstServerError = 500;
 
@@ -286,7 +287,7 @@
             self->onPathLost();
     };
     std::optional<EndpointExchange> exchange =
-            plane_.path.start(endpoint, mayProbe, onPathLost, now);
+            plane_.path.start(endpoint, meta_.id, mayProbe, onPathLost, now);
     if (!exchange) {
         excludedEndpoints_.insert(endpoint.id);
         retryOrFail(core::AttemptOutcome::NotSent, "bad address");
@@ -355,7 +356,7 @@
     if (attempt_->meta.load)
         plane_.monitor.recordLoad(attempt_->endpoint.id, *attempt_->meta.load, now);
     // An error response is read to its end, so that the connection can be reused.
-    if (attempt_->meta.notExecuted || head.status >= proxy::kFirstNonSuccessStatus)
+    if (head.status >= proxy::kFirstNonSuccessStatus)
         return;
     if (!isValidAnswer(*attempt_)) {
         failAttempt(core::AttemptOutcome::Discarded, "unsound answer", false);
@@ -370,7 +371,20 @@
 template<TrafficDialect Dialect>
 bool ProxyRequest<Dialect>::isValidAnswer(const Attempt &attempt) const
 {
-    return attempt.meta.isSealed && !attempt.meta.isEncoded;
+    // A success that states that the request did not run contradicts itself.
+    const bool isSound =
+            attempt.meta.isSealed && !attempt.meta.isEncoded && !attempt.meta.notExecuted;
+    return isSound && (!isStream() || isStreamAnswer(attempt.head));
+}
+
+// Whether the answer has the status of a stream and, if another endpoint began the stream, the same
+// media type.
+template<TrafficDialect Dialect>
+bool ProxyRequest<Dialect>::isStreamAnswer(const net::HttpResponseHead &head) const
+{
+    const std::string *mediaType = net::findField(head.fields, "Content-Type");
+    return head.status == proxy::kStreamStatus
+           && (!responseStarted_ || (mediaType ? *mediaType : "") == streamMediaType_);
 }
 
 // Returns the larger model that should answer instead, or nothing. Only possible as long as no part
@@ -493,23 +507,32 @@
 void ProxyRequest<Dialect>::onEvents(std::string_view piece)
 {
     std::string relayed;
+    std::string_view fault;
     for (const core::StreamEvent &event : attempt_->splitter.push(piece)) {
         const core::SpliceDecision decision = streamSplice_.accept(event);
-        if (decision == core::SpliceDecision::Gap) {
-            failAttempt(core::AttemptOutcome::Discarded, "gap in the stream", false);
-            return;
-        }
+        if (decision == core::SpliceDecision::Gap)
+            fault = "gap in the stream";
+        else if (decision == core::SpliceDecision::Foreign)
+            fault = "no event of the stream";
+        if (!fault.empty())
+            break;
         if (decision == core::SpliceDecision::Relay) {
             relayed += event.bytes;
             ++attempt_->relayedEvents;
         }
     }
-    if (attempt_->splitter.isOversized()) {
-        failAttempt(core::AttemptOutcome::Discarded, "event too large", false);
-        return;
-    }
-    if (relayed.empty())
-        return;
+    if (attempt_->splitter.isOversized())
+        fault = "event too large";
+    // The accepted events count as received by the caller, also if the attempt fails after them.
+    if (!relayed.empty())
+        relayEvents(relayed);
+    if (!fault.empty())
+        failAttempt(core::AttemptOutcome::Discarded, fault, false);
+}
+
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::relayEvents(std::string_view relayed)
+{
     if (!attempt_->hasEvent) {
         attempt_->hasEvent = true;
         attempt_->firstEventAt = attempt_->lastProgressAt;
@@ -518,10 +541,7 @@
         plane_.recordOutcome(attempt_->endpoint, route_->name, true, latency);
         recordAnswered();
     }
-    if (!responseStarted_) {
-        responseStarted_ = true;
-        session_->beginStream({attempt_->head.status, responseFields()});
-    }
+    beginStream();
     session_->writeChunk(relayed);
 }
 
@@ -534,7 +554,11 @@
     }
     if (attempt_->head.status >= proxy::kFirstNonSuccessStatus) {
         recordAnswered();
-        retryOrForwardError();
+        // Without the endpoint's statement that the request did not run, the status may be wrong.
+        if (attempt_->meta.statusDeniesRun && !route_->isIdempotent())
+            failAttempt(core::AttemptOutcome::Discarded, "refusal without a statement", false);
+        else
+            retryOrForwardError();
         return;
     }
     if (isStream()) {
@@ -602,15 +626,23 @@
         failAttempt(core::AttemptOutcome::Discarded, "ended within an event", false);
         return;
     }
-    if (!responseStarted_) {
-        responseStarted_ = true;
-        session_->beginStream({attempt_->head.status, responseFields()});
-    }
+    beginStream();
     ++plane_.counts.answered;
     session_->endStream();
     finish("answered", attempt_->head.status);
 }
 
+// Sends the head of the caller's stream, once.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::beginStream()
+{
+    if (std::exchange(responseStarted_, true))
+        return;
+    if (const std::string *mediaType = net::findField(attempt_->head.fields, "Content-Type"))
+        streamMediaType_ = *mediaType;
+    session_->beginStream({attempt_->head.status, responseFields()});
+}
+
 // The endpoint did not crash on the request.
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::recordAnswered()
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -66,8 +66,9 @@
 
 
 class Worker:
-    """A worker of one service. `faults` maps the last segment of a path to a simulated fault. The worker
-    ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
+    """A worker of one service. `faults` maps the last segment of a path to a simulated fault: its name,
+    or a function that is called with the worker and the request, and returns whether it responded. The
+    worker ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
 
     def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None):
         self.site, self.name, self.service, self.version = site, name, service, version
@@ -75,6 +76,7 @@
         self.crashes = 0
         self.ended_connections = 0  # closed by the entry in the middle of an endless answer
         self.full_until = 0  # rejects requests until this time of the monotonic clock
+        self.stale_writes = 0  # repetitions of an earlier response
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.runs = []  # (request id, path, headers) of each executed request
         worker = self
@@ -136,11 +138,18 @@
             self.reply(request, 421, {"Fireflyroute-Instance-Id": self.name})
             return
         fault = self.faults.get(request.path.rsplit("/", 1)[-1])
+        if callable(fault) and fault(self, request):
+            return
         if fault == "full" or time.monotonic() < self.full_until:
             self.reply(request, 503, {"Fireflyroute-Not-Executed": "1"})
             return
-        self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
-                          dict(request.headers)))
+        self.record_run(request)
+        # What the worker writes on this connection before its next answer.
+        stale = request.__dict__.pop("stale_bytes", None)
+        if stale is not None:
+            self.stale_writes += 1
+            request.wfile.write(stale)
+            time.sleep(0.02)  # so that the answer arrives later
         prompt = request.headers.get("Fireflyroute-Prompt-Prefix") or ""
         if self.deadly_part and self.deadly_part + ":" in prompt:
             self.crashes += 1
@@ -161,6 +170,10 @@
             self.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL},
                        ("by " + self.name).encode())
 
+    def record_run(self, request):
+        self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
+                          dict(request.headers)))
+
     def reply(self, request, status, fields, body=b""):
         request.send_response(status)
         request.send_header("Fireflyroute-Request-Id",
@@ -171,6 +184,34 @@
         request.end_headers()
         request.wfile.write(body)
 
+    def answer(self, request, status, fields, body, framing, resets):
+        """Sends a response whose end is marked by its length, by chunks, or by the end of its connection,
+        which may be a reset."""
+        request.send_response(status)
+        request.send_header("Fireflyroute-Request-Id",
+                            request.headers["Fireflyroute-Request-Id"])
+        for name, value in fields.items():
+            request.send_header(name, value)
+        if framing == "length":
+            request.send_header("Content-Length", str(len(body)))
+        elif framing == "chunked":
+            request.send_header("Transfer-Encoding", "chunked")
+            body = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+        request.end_headers()
+        request.wfile.write(body)
+        request.close_connection = framing == "close"
+        if resets:
+            self.reset(request)
+        elif framing == "close":
+            request.connection.shutdown(socket.SHUT_RDWR)
+
+    def reset(self, request):
+        """Ends the connection with a reset, after the entry has read what was sent."""
+        time.sleep(0.02)
+        request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        request.rfile.close()
+        request.connection.close()
+
     def send_endless(self, request, status):
         """Sends bytes of no meaning until the entry closes the connection."""
         request.send_response(status)
