--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -58,7 +58,7 @@
     {
         core::EndpointRecord endpoint;
         std::uint32_t prefillTokens = 0; // prompt tokens that the endpoint has to process first
-        std::shared_ptr<net::EndpointConnection> connection;
+        EndpointExchange exchange;
         core::AnswerMeta meta;
         net::HttpResponseHead head;
         std::string body; // of an answer that is forwarded when complete
@@ -90,6 +90,7 @@
     void onHead(const net::HttpResponseHead &head);
     void onBody(std::string_view piece);
     void onEvents(std::string_view piece);
+    void relayEvents(std::string_view relayed);
     [[nodiscard]] std::string takeBody();
     [[nodiscard]] bool isTooLarge() const;
     void onEnd(net::ResponseEnd end);
@@ -97,8 +98,10 @@
     void onTimer();
     [[nodiscard]] bool hasAlternative(core::Instant now) const;
     void onCallerDisconnected();
+    void onPathLost();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
+    [[nodiscard]] bool isStreamAnswer(const net::HttpResponseHead &head) const;
     [[nodiscard]] std::optional<std::size_t> escalationTarget();
     [[nodiscard]] core::ExpectedAnswer
     expectedAnswer(std::size_t model, const core::PickResult &pick, core::Instant now);
@@ -109,6 +112,8 @@
     void handleNotExecuted();
     void endAttempt();
     void failAttempt(core::AttemptOutcome outcome, std::string_view cause, bool isSevere);
+    // Ends an attempt that failed through no fault of the endpoint.
+    void failAttemptOnPath(core::AttemptOutcome outcome, std::string_view cause);
     void retryOrFail(core::AttemptOutcome outcome, std::string_view cause);
     [[nodiscard]] core::RetryVerdict retryVerdict() const;
     [[nodiscard]] core::NextStep nextStep(core::RetryVerdict verdict, bool consumesBudget,
@@ -117,6 +122,7 @@
     void waitForEndpoint(bool consumesBudget);
     void waitForAnyEndpoint();
     void retryOrForwardError();
+    void beginStream();
     void finishStream();
     void recordEventInterval();
     void recordAnswered();
@@ -153,6 +159,7 @@
     core::StreamSplice streamSplice_;
     std::size_t model_ = 0; // index into route_->models
     core::AttemptTracker attemptTracker_;
+    std::string streamMediaType_; // of the stream that the caller receives
     bool responseStarted_ = false; // part of the response was sent to the caller
     bool finished_ = false;
     bool isCounted_ = false; // recorded as a request of its service
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -15,12 +15,26 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from platform_stand_in import EVENT_COUNT, SEAL, Site, call, wait_until  # noqa: E402
+from platform_stand_in import EVENT_COUNT, SEAL, EntryLink, Site, call, wait_until  # noqa: E402
+
+
+def refusal(request, with_id=True, status=503):
+    """Returns the bytes with which a worker states that it did not run the request."""
+    identity = "Fireflyroute-Request-Id: %s\r\n" % request.headers["Fireflyroute-Request-Id"]
+    return ("HTTP/1.1 %d Refused\r\n%sFireflyroute-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+            % (status, identity if with_id else "")).encode()
+
 
 COMPLETE_STREAM = "".join("id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, EVENT_COUNT + 1))
 
 
 class SiteTest(unittest.TestCase):
+    def leader(self, site):
+        leaders = [ip for ip in site.control
+                   if call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
+        self.assertEqual(len(leaders), 1)
+        return leaders[0]
+
     def test_requests_are_matched_authorised_and_answered_unchanged(self):
         with Site(11) as site:
             site.configure(1)
@@ -101,13 +115,11 @@
                                                 "{")[0], 400)
             wait_until(lambda: site.request("/calls/1", key="k2")[0] == 200, "the new key works")
             self.assertEqual(site.request("/calls/1", key="k1")[0], 401)
-            leader = [ip for ip in site.control
-                      if call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
-            self.assertEqual(len(leader), 1)
-            site.kill(leader[0])
+            leader = self.leader(site)
+            site.kill(leader)
             self.assertEqual(site.operator_call("GET", "/fireflyroute/Config.Read"), (200, newest))
             later, _ = site.configure(9, keys=("k2", "k3"))
-            site.start(leader[0])
+            site.start(leader)
             self.assertEqual(site.operator_call("GET", "/fireflyroute/Config.Read"), (200, later))
             wait_until(lambda: site.request("/calls/1", key="k3")[0] == 200, "the third key works")
 
@@ -224,6 +236,55 @@
                         while link.recv(1 << 16):
                             pass
 
+    # Guards against entries that keep relays which are gone, also when another control VM leads.
+    def test_entries_learn_the_other_entries_as_relays(self):
+        with Site(22, controls=5, entries=3) as site:
+            site.configure(1)
+            wait_until(lambda: site.voters() == 5, "all control VMs vote")
+
+            def wait_for_relays(count):
+                wait_until(lambda: all(site.entry_metric("entry_relays", entry) == count
+                                       for entry in (0, 1)), "%d relays" % count)
+
+            wait_for_relays(2)
+            site.kill(site.entries[2])
+            wait_for_relays(1)
+            site.kill(self.leader(site))
+            site.start(site.entries[2])
+            wait_for_relays(2)
+            self.assertEqual(site.entry_metric("entry_isolated"), 0)
+
+    # Guards against relays that have no path to the workers themselves.
+    def test_isolated_entries_are_no_relays_of_others(self):
+        with Site(23) as site:
+            site.configure(1)
+            wait_until(lambda: site.voters() == 3, "all control VMs vote")
+            leader, entry = self.leader(site), site.entries[0]
+
+            def wait_for(isolated, relays):
+                wait_until(lambda: link.probe(isolated) is not None
+                           and site.entry_metric("entry_relays") == relays,
+                           "the entry has %d relays" % relays)
+
+            with EntryLink(leader, "127.23.2.9") as link:
+                wait_for(isolated=False, relays=1)
+                wait_for(isolated=True, relays=0)
+                self.assertEqual(link.probe(True), [entry])
+                wait_for(isolated=False, relays=1)
+                wait_for(isolated=True, relays=0)
+
+            def reported():
+                return [(line["entry"], line["path"], line["isolated"])
+                        for line in site.log(leader) if line["kind"] == "relay"]
+
+            lost = ("127.23.2.9", "unknown", 0)
+            wait_until(lambda: reported()[-1] == lost, "the loss of the isolated entry is logged")
+            # Reports that expire between two late probes show as lost, and as isolated once more.
+            changes = [line for line, _ in itertools.groupby(
+                line for line in reported() if line != lost)]
+            self.assertEqual(changes, [("127.23.2.9", path, isolated) for path, isolated in
+                                       (("isolated", 1), ("connected", 0), ("isolated", 1))])
+
     # Guards against prompts with one part that crashes workers being sent to one worker after another.
     def test_prompt_part_that_crashes_workers_stops_reaching_them(self):
         with Site(20, entries=2) as site:
@@ -374,6 +435,332 @@
             caller.join()
             self.assertEqual(responses[0][0:3:2], (200, COMPLETE_STREAM))
 
+    # Guards against an entry that is partitioned from the workers only: clients and control VMs still
+    # reach it, so it gets requests as before and served none of them.
+    def serve_while_cut_off(self, network, how):
+        with Site(network, entries=2) as site:
+            site.configure(1)
+            for number in range(8):
+                site.worker("i-%d" % number, "llm" if number % 2 else "ledger")
+            draft = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            calls = [("/calls/1", "GET", {}), ("/refunds/1", "POST", {}), ("/drafts/1", "GET", draft)]
+            answers = []  # (entry, path, seconds since the cut, status)
+
+            def send(entry, path, method, fields, at):
+                try:
+                    status = site.request(path, method, entry=entry, headers=fields)[0]
+                except (OSError, http.client.HTTPException):
+                    status = 0
+                answers.append((entry, path, at, status))
+
+            def send_for(seconds):
+                """Sends requests at a fixed rate to both entries, and waits for their answers."""
+                begin, threads = time.monotonic(), []
+                while time.monotonic() - begin < seconds:
+                    at = time.monotonic() - begin
+                    for entry in range(2):
+                        for path, method, fields in calls:
+                            threads.append(threading.Thread(
+                                target=send, args=(entry, path, method, fields, at)))
+                            threads[-1].start()
+                    time.sleep(0.15)
+                for thread in threads:
+                    thread.join()
+
+            for entry in range(2):
+                wait_until(lambda entry=entry: site.is_ready(entry), "the entry is ready")
+                for path, method, fields in calls:
+                    wait_until(lambda entry=entry, path=path, method=method, fields=fields: site.request(
+                        path, method, entry=entry, headers=fields)[0] == 200, path + " is served")
+            send_for(2)  # both entries have idle connections
+            answers.clear()
+            site.cut(site.entries[0], how)
+            send_for(7)
+            # The platform allows 4 s.
+            missed = [answer for answer in answers
+                      if answer[3] != 200 and (answer[0] == 1 or answer[2] >= 4)]
+            self.assertEqual(missed, [])
+            self.assertTrue(any(answer[2] >= 4 for answer in answers))
+            self.assertEqual(site.entry_metric("entry_isolated"), 1)
+            self.assertTrue(site.is_ready())
+            site.end_cut()
+            wait_until(lambda: site.request("/calls/1") and not site.entry_metric("entry_isolated"),
+                       "the entry uses its own path again")
+            self.assertEqual(site.entry_metric("entry_isolated", entry=1), 0)
+
+    def test_entry_whose_connections_are_reset_is_served_by_way_of_another(self):
+        self.serve_while_cut_off(40, "reset")
+
+    def test_entry_whose_connections_are_silent_is_served_by_way_of_another(self):
+        self.serve_while_cut_off(41, "silent")
+
+    # Guards against an entry without any path that attracts requests, and against one that nobody sends
+    # requests any more, which would show that the path is back.
+    def test_entry_without_any_path_is_not_ready_until_the_path_is_back(self):
+        with Site(42) as site:
+            site.configure(1)
+            for number in range(4):
+                site.worker("i-%d" % number, "ledger")
+            site.wait_until_served("/calls/1")
+            site.cut(site.entries[0], "reset")
+            wait_until(lambda: site.request("/calls/1") and not site.is_ready(), "it is not ready")
+            site.end_cut()
+            wait_until(site.is_ready, "it is ready again")
+            wait_until(lambda: site.request("/calls/1")[0] == 200, "it serves")
+            wait_until(lambda: site.request("/calls/1") and not site.entry_metric("entry_isolated"),
+                       "it uses its own path")
+
+    # Guards against a worker that writes an earlier refusal once more on a kept connection: it was taken
+    # for the answer to a request that the worker ran.
+    def test_repeated_refusal_refuses_no_later_request(self):
+        refused = set()
+
+        def refuse(pause=None, **options):
+            """Refuses a request at its first worker and writes the refusal again: after a pause, or just
+            before the next answer on the connection."""
+            def respond(worker, request):
+                request_id = request.headers["Fireflyroute-Request-Id"]
+                if request_id in refused:
+                    return False
+                refused.add(request_id)
+                repeated = refusal(request, **options)
+                request.wfile.write(refusal(request) + (repeated if pause == 0 else b""))
+                if pause is None:
+                    request.stale_bytes = repeated
+                    return True
+                time.sleep(pause)
+                if pause:
+                    request.wfile.write(repeated)
+                worker.stale_writes += 1
+                return True
+            return respond
+
+        faults = {"at-once": refuse(pause=0), "idle": refuse(pause=0.02), "later": refuse(),
+                  "later-no-id": refuse(with_id=False), "later-429": refuse(status=429),
+                  "later-421": refuse(status=421),
+                  "later-421-no-id": refuse(status=421, with_id=False)}
+        with Site(30) as site:
+            site.configure(1)
+            workers = [site.worker("i-%d" % number, "ledger", faults=faults) for number in (1, 2)]
+            site.wait_until_served("/calls/1")
+            wait_until(lambda: site.request("/calls/1") and all(worker.runs for worker in workers),
+                       "both workers are used")
+            for name in faults:
+                before = sum(worker.stale_writes for worker in workers)
+
+                def refunds_are_answered(name=name, before=before):
+                    self.assertEqual(site.request("/refunds/" + name, method="POST")[0], 200)
+                    for _ in range(4):
+                        self.assertEqual(site.request("/refunds/1", method="POST")[0], 200)
+                    return sum(worker.stale_writes for worker in workers) > before
+
+                wait_until(refunds_are_answered, "a refusal is repeated: " + name)
+            refunds = [run[0] for worker in workers for run in worker.runs
+                       if run[1].startswith("/refunds/")]
+            self.assertEqual(len(refunds), len(set(refunds)))
+
+    # Guards against a repeated refusal that is taken for the answer to a request with the same id.
+    def test_repeated_refusal_does_not_refuse_a_request_that_is_sent_again(self):
+        def refuse_first(worker, request):
+            if worker.refusals:
+                return False
+            worker.refusals += 1
+            request.stale_bytes = refusal(request)
+            request.wfile.write(refusal(request))
+            return True
+
+        with Site(30) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "ledger", faults={"x": refuse_first})
+            worker.refusals = 0
+            site.wait_until_served("/calls/1")
+            fields = {"Fireflyroute-Request-Id": "again"}
+
+            def runs():
+                return [run[0] for run in worker.runs].count("again")
+
+            self.assertEqual(site.request("/refunds/x", method="POST", headers=fields)[0], 503)
+            while not runs():
+                status = site.request("/refunds/x", method="POST", headers=fields)[0]
+                self.assertEqual(status, 200 if runs() else 503)
+            self.assertEqual(runs(), 1)
+
+    # Guards against answers whose status says that a request did not run, from a worker that ran it.
+    def test_worker_that_ran_a_request_can_not_refuse_it(self):
+        def run_and_answer(status):
+            def respond(worker, request):
+                worker.record_run(request)
+                worker.reply(request, status, {"Fireflyroute-Response-Seal": SEAL, "Retry-After": "1"})
+                return True
+            return respond
+
+        statuses = (408, 429, 503)
+        with Site(31) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "ledger", faults={
+                str(status): run_and_answer(status) for status in statuses})
+            site.wait_until_served("/calls/1")
+            for status in statuses:
+                path = "/refunds/%d" % status
+                while not any(run[1] == path for run in worker.runs):
+                    answer = site.request(path, method="POST")
+                self.assertEqual(answer[0], 502)
+                self.assertNotIn("Fireflyroute-Response-Seal", answer[1])
+
+    # Guards against events that were lost because a gap followed them in the same segment: they counted
+    # as received, and the next endpoint went on after them.
+    def test_events_before_a_gap_are_relayed(self):
+        def send_gap(worker, request):
+            if request.headers.get("Last-Event-Id"):
+                return False
+            worker.record_run(request)
+            worker.answer(request, 200, {"Fireflyroute-Response-Seal": SEAL,
+                                         "Content-Type": "text/event-stream"},
+                          b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in (1, 2, 4)),
+                          "chunked", False)
+            return True
+
+        with Site(32) as site:
+            site.configure(1)
+            workers = [site.worker("i-%d" % number, "llm", faults={"gap": send_gap})
+                       for number in range(2)]
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            self.assertEqual(site.request("/drafts/gap", headers=fields)[2], COMPLETE_STREAM)
+            self.assertEqual(sum(run[1] == "/drafts/gap" for worker in workers
+                                 for run in worker.runs), 2)
+
+    # Guards against an error of the endpoint that was to resume a stream: its text stood in the middle of
+    # the stream, or the stream ended as if it were complete.
+    def test_failed_resumption_leaves_a_stream_visibly_broken(self):
+        sealed = {"Fireflyroute-Response-Seal": SEAL}
+        events = dict(sealed, **{"Content-Type": "text/event-stream"})
+        text = dict(sealed, **{"Content-Type": "text/plain"})
+        error = b"HTTP/1.1 500 Internal\r\nContent-Length: 4\r\n\r\nupstream failed\n\n"
+        event = b"id: 5\ndata: token-5\n\n"
+        answers = {}  # status, fields, body, framing, whether the connection is reset at the end
+        for status in (301, 404, 429, 500, 503):
+            for framing in ("length", "chunked", "close"):
+                answers["%d-%s" % (status, framing)] = (status, sealed, error + event, framing, False)
+            answers["%d-reset" % status] = (status, sealed, error + event, "close", True)
+        refused = dict(events, **{"Fireflyroute-Not-Executed": "1"})
+        answers.update({
+            "refused": (503, refused, event, "length", False),
+            "refused-200": (200, refused, event, "chunked", False),
+            "unsealed": (200, {"Content-Type": "text/event-stream"}, event, "chunked", False),
+            "empty-204": (204, events, b"", "length", False),
+            "other-type": (200, text, event, "length", False),
+            "other-type-empty": (200, text, b"", "length", False),
+            "text": (200, events, b"upstream failed\n\n", "chunked", False),
+            "head": (200, events, error, "chunked", False),
+            "json": (200, events, b'{"error": "failed"}\n\n', "chunked", False),
+            "event-without-id": (200, events, b"event: error\ndata: failed\n\n", "chunked", False),
+            "part-of-event": (200, events, event[:-1], "close", False),
+            "no-event-reset": (200, events, b"", "close", True),
+            "line-in-event": (200, events, b"id: 5\ndata: tokHTTP/1.1 500 Internal\r\n"
+                              b"Content-Length: 4\r\n\r\nfull", "close", False),
+        })
+
+        def resume(worker, request):
+            if "Last-Event-Id" not in request.headers:
+                worker.record_run(request)
+                worker.stream(request, "break" if request.headers["Fireflyroute-Model"] == "large"
+                              else None)
+            else:
+                resumed.add(request.path.rsplit("/", 1)[-1])
+                worker.answer(request, *answers[request.path.rsplit("/", 1)[-1]])
+            return True
+
+        resumed = set()
+        with Site(33) as site:
+            site.configure(1)
+            for number in range(3):
+                site.worker("i-%d" % number, "llm", faults={name: resume for name in answers})
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            wait_until(site.is_ready, "the entry is ready")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            before = "".join("id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, 5))
+            for name in answers:
+                with self.subTest(name):
+                    def is_resumed(name=name):
+                        try:
+                            status, _, body = site.request("/drafts/" + name, headers=fields)
+                        except http.client.IncompleteRead as broken:
+                            self.assertEqual(broken.partial.decode(), before)
+                        else:
+                            self.assertNotEqual(status, 200, "the stream looks complete: " + body)
+                        return name in resumed
+                    wait_until(is_resumed, "the stream is resumed")
+
+    # Guards against a worker that stops in the middle of its answer and closes: callers got a success with
+    # an empty or short body that looked complete.
+    def test_answer_that_is_cut_off_is_no_success(self):
+        def head(request, *lines):
+            return "\r\n".join(
+                ("HTTP/1.1 200 OK", "Fireflyroute-Request-Id: "
+                 + request.headers["Fireflyroute-Request-Id"], "Fireflyroute-Response-Seal: " + SEAL)
+                + lines) + "\r\n"
+
+        early = "HTTP/1.1 100 Continue\r\n\r\n"
+        cuts = {
+            "status-line": lambda request: "HTTP/1.1 20",
+            "after-status-line": lambda request: "HTTP/1.1 200 OK\r\n",
+            "field-name": lambda request: head(request, "Content-Le")[:-2],
+            "field-value": lambda request: head(request, "Content-Length: 1")[:-2],
+            "between-fields": lambda request: head(request),
+            "blank-line": lambda request: head(request) + "\r",
+            "after-early": lambda request: early,
+            "field-name-after-early": lambda request: early + head(request, "Content-Le")[:-2],
+            "blank-line-after-early": lambda request: early + head(request) + "\r",
+            "body": lambda request: head(request, "Content-Length: 99") + "\r\nid: 1\ndata: x\n\n",
+            "no-body": lambda request: head(request, "Content-Length: 99") + "\r\n",
+            "chunk-size": lambda request: head(request, "Transfer-Encoding: chunked")
+            + "\r\nf\r\nid: 1\ndata: x\n\n\r\n1",
+            "last-chunk": lambda request: head(request, "Transfer-Encoding: chunked")
+            + "\r\nf\r\nid: 1\ndata: x\n\n\r\n0\r\n",
+        }
+
+        def cut_off(cut, resets):
+            def respond(worker, request):
+                if "Last-Event-Id" in request.headers:
+                    return False
+                worker.record_run(request)
+                request.wfile.write(cut(request).encode())
+                request.close_connection = True
+                if resets:
+                    worker.reset(request)
+                else:
+                    request.connection.shutdown(socket.SHUT_RDWR)
+                return True
+            return respond
+
+        faults = {name + ending: cut_off(cut, bool(ending))
+                  for name, cut in cuts.items() for ending in ("", "-reset")}
+        with Site(32) as site:
+            site.configure(1)
+            worker = site.worker("i-1", "ledger", faults=faults)
+            streamer = site.worker("i-2", "llm", faults=faults)
+            fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
+            site.wait_until_served("/calls/1")
+            wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
+            for prefix, method in (("/calls/", "GET"), ("/refunds/", "POST"), ("/drafts/", "GET")):
+                for name in faults:
+                    with self.subTest(prefix + name):
+                        def has_run(path=prefix + name):
+                            return any(run[1] == path for run in worker.runs + streamer.runs)
+
+                        def is_cut_off(path=prefix + name, method=method):
+                            try:
+                                status, _, body = site.request(
+                                    path, method, headers=fields if path[1] == "d" else None)
+                            except http.client.IncompleteRead:
+                                pass  # the stream began and is visibly broken
+                            else:
+                                self.assertEqual(status, 502 if has_run() else 503, body)
+                            return has_run()
+                        wait_until(is_cut_off, "the answer is cut off")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -2,11 +2,16 @@
 
 #include "net/endpoint_connection.h"
 
+#include "net/address.h"
+
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -50,6 +55,17 @@
     return std::chrono::seconds(seconds);
 }
 
+// Whether the text contains the start of a status line.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view kPattern = "HTTP/0.0 000"; // a zero matches any digit
+    const auto matches = [](char c, char expected) {
+        return expected == '0' ? c >= '0' && c <= '9' : c == expected;
+    };
+    return std::search(text.begin(), text.end(), kPattern.begin(), kPattern.end(), matches)
+           != text.end();
+}
+
 } // namespace
 
 struct EndpointConnection::Parser
@@ -67,10 +83,12 @@
     bool headHandled = false;
 };
 
-EndpointConnection::EndpointConnection(asio::io_context &io, tcp::endpoint peer)
+EndpointConnection::EndpointConnection(asio::io_context &io, tcp::endpoint peer,
+                                       std::optional<tcp::endpoint> relay)
     : socket_(io)
     , timer_(io)
     , peer_(std::move(peer))
+    , relay_(std::move(relay))
     , keepAliveTimeout_(kDefaultKeepAliveTimeout)
 {}
 
@@ -93,27 +111,90 @@
         connect(connectTimeout);
 }
 
+void EndpointConnection::recordRequestId(std::string_view requestId)
+{
+    requestHashes_[requestCount_++ % kRememberedRequests] =
+            std::hash<std::string_view>()(requestId);
+}
+
+bool EndpointConnection::hasCarried(std::string_view requestId) const
+{
+    const auto end = requestHashes_.begin()
+                     + static_cast<std::ptrdiff_t>(std::min(requestCount_, kRememberedRequests));
+    return std::find(requestHashes_.begin(), end, std::hash<std::string_view>()(requestId)) != end;
+}
+
 void EndpointConnection::connect(std::chrono::milliseconds timeout)
 {
-    timer_.expires_after(timeout);
-    timer_.async_wait([self = shared_from_this()](const error_code &error) {
-        if (!error && !self->connected_ && self->exchangeActive_)
-            self->fail(ExchangeError::ConnectTimeout);
-    });
-    socket_.async_connect(peer_, [self = shared_from_this()](const error_code &error) {
+    armConnectTimer(timeout);
+    socket_.async_connect(relay_ ? *relay_ : peer_, [self = shared_from_this(),
+                                                     timeout](const error_code &error) {
         if (!self->exchangeActive_ || !self->open_)
             return;
-        self->timer_.cancel();
         if (error) {
-            self->fail(ExchangeError::ConnectFailed);
+            self->fail(self->relay_ ? ExchangeError::RelayFailed : ExchangeError::ConnectFailed);
             return;
         }
         configureSocket(self->socket_);
-        self->connected_ = true;
-        self->write();
+        if (self->relay_) {
+            self->armConnectTimer(timeout);
+            self->requestTunnel();
+        } else {
+            self->onConnected();
+        }
+    });
+}
+
+void EndpointConnection::armConnectTimer(std::chrono::milliseconds timeout)
+{
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && !self->connected_ && self->exchangeActive_)
+            self->fail(self->relay_ ? ExchangeError::RelayFailed : ExchangeError::ConnectTimeout);
     });
 }
 
+void EndpointConnection::requestTunnel()
+{
+    tunnelRequest_ = encodeTunnelRequest(formatAddress(peer_));
+    asio::async_write(socket_, asio::buffer(tunnelRequest_),
+                      [self = shared_from_this()](const error_code &, std::size_t) {
+                          // The read below reports a failure.
+                      });
+    asio::async_read(socket_, asio::buffer(&tunnelAnswer_, 1),
+                     [self = shared_from_this()](const error_code &error, std::size_t) {
+                         if (!self->exchangeActive_ || !self->open_)
+                             return;
+                         if (error)
+                             self->fail(ExchangeError::RelayFailed);
+                         else
+                             self->onTunnelAnswer(self->tunnelAnswer_);
+                     });
+}
+
+void EndpointConnection::onTunnelAnswer(char answer)
+{
+    const std::optional<TunnelStatus> status = decodeTunnelStatus(answer);
+    if (status == TunnelStatus::Opened) {
+        onConnected();
+        return;
+    }
+    relayAnswer_ = status;
+    if (status == TunnelStatus::Refused)
+        fail(ExchangeError::ConnectFailed);
+    else if (status == TunnelStatus::TimedOut)
+        fail(ExchangeError::ConnectTimeout);
+    else
+        fail(ExchangeError::RelayFailed);
+}
+
+void EndpointConnection::onConnected()
+{
+    timer_.cancel();
+    connected_ = true;
+    write();
+}
+
 void EndpointConnection::write()
 {
     requestSent_ = true;
@@ -218,6 +299,10 @@
     const std::shared_ptr<const ExchangeHandlers> handlers = handlers_;
     if (!state.headHandled && state.parser.is_header_done()) {
         recordHead();
+        if (isJoinedHead()) {
+            fail(ExchangeError::Malformed);
+            return false;
+        }
         if (state.head.status < kMinFinalStatus || !handlers->matchesRequest(state.head)) {
             skippingResponse_ = true;
             if (++skippedResponses_ > kMaxSkippedResponses) {
@@ -250,6 +335,16 @@
         keepAliveTimeout_ = parseKeepAliveTimeout(*value).value_or(keepAliveTimeout_);
 }
 
+// Whether a response that was cut off within its head is joined with the response after it: the
+// status line of the latter stands in the reason phrase or in a field value.
+bool EndpointConnection::isJoinedHead() const
+{
+    const auto reason = parser_->parser.get().reason();
+    return containsStatusLine({reason.data(), reason.size()})
+           || std::any_of(parser_->head.fields.begin(), parser_->head.fields.end(),
+                          [](const HttpHeader &field) { return containsStatusLine(field.value); });
+}
+
 void EndpointConnection::onEndOfStream()
 {
     const bool endsByConnectionClose = headReceived_ && !skippingResponse_
@@ -275,7 +370,7 @@
 {
     exchangeActive_ = false;
     const std::shared_ptr<const ExchangeHandlers> handlers = std::exchange(handlers_, nullptr);
-    const ExchangeFailure failure{error, requestSent_};
+    const ExchangeFailure failure{error, requestSent_, relayAnswer_};
     close();
     handlers->onFailure(failure);
 }
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -38,9 +39,36 @@
         connection.close()
 
 
+class WorkerServer(http.server.ThreadingHTTPServer):
+    """Accepts the connections of a worker. Resets those of entries that are cut off in this way."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, address, handler, site):
+        self.site = site
+        super().__init__(address, handler)
+
+    def process_request_thread(self, request, client_address):
+        if self.site.cuts.get(self.site.owner_of(request)) == "reset":
+            reset(request)
+        else:
+            super().process_request_thread(request, client_address)
+
+    def handle_error(self, *_):
+        pass  # the other side has closed the connection
+
+
+def reset(connection):
+    """Ends a connection with a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
 class Worker:
-    """A worker of one service. `faults` maps the last segment of a path to a simulated fault. The worker
-    ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
+    """A worker of one service. `faults` maps the last segment of a path to a simulated fault: its name,
+    or a function that is called with the worker and the request, and returns whether it responded. The
+    worker ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
 
     def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None):
         self.site, self.name, self.service, self.version = site, name, service, version
@@ -48,6 +76,7 @@
         self.crashes = 0
         self.ended_connections = 0  # closed by the entry in the middle of an endless answer
         self.full_until = 0  # rejects requests until this time of the monotonic clock
+        self.stale_writes = 0  # repetitions of an earlier response
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.runs = []  # (request id, path, headers) of each executed request
         worker = self
@@ -63,8 +92,7 @@
             def log_message(self, *_):
                 pass
 
-        self.server = http.server.ThreadingHTTPServer((ip, 0), Handler)
-        self.server.daemon_threads = True
+        self.server = WorkerServer((ip, 0), Handler, site)
         self.address = "%s:%d" % (ip, self.server.server_port)
         self.stopped = threading.Event()
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -88,18 +116,40 @@
         except OSError:
             pass  # the control VM is down; the next heartbeat goes to another one
 
+    def is_cut_off(self, request):
+        """Whether the entry that sent the request has lost its path to the workers. If so, ends the
+        connection like its partition does."""
+        if self.site.cuts and not getattr(request, "owner", None):
+            request.owner = self.site.owner_of(request.connection)
+        cut = self.site.cuts.get(request.owner) if self.site.cuts else None
+        if cut:
+            request.close_connection = True
+            if cut == "silent":
+                self.site.cut_over.wait()
+            reset(request.connection)
+        return cut is not None
+
     def respond(self, request):
+        if self.is_cut_off(request):
+            return
         length = int(request.headers.get("Content-Length") or 0)
         request.rfile.read(length)
         if request.headers.get("Fireflyroute-Expect-Instance") != self.name:
             self.reply(request, 421, {"Fireflyroute-Instance-Id": self.name})
             return
         fault = self.faults.get(request.path.rsplit("/", 1)[-1])
+        if callable(fault) and fault(self, request):
+            return
         if fault == "full" or time.monotonic() < self.full_until:
             self.reply(request, 503, {"Fireflyroute-Not-Executed": "1"})
             return
-        self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
-                          dict(request.headers)))
+        self.record_run(request)
+        # What the worker writes on this connection before its next answer.
+        stale = request.__dict__.pop("stale_bytes", None)
+        if stale is not None:
+            self.stale_writes += 1
+            request.wfile.write(stale)
+            time.sleep(0.02)  # so that the answer arrives later
         prompt = request.headers.get("Fireflyroute-Prompt-Prefix") or ""
         if self.deadly_part and self.deadly_part + ":" in prompt:
             self.crashes += 1
@@ -120,6 +170,10 @@
             self.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL},
                        ("by " + self.name).encode())
 
+    def record_run(self, request):
+        self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
+                          dict(request.headers)))
+
     def reply(self, request, status, fields, body=b""):
         request.send_response(status)
         request.send_header("Fireflyroute-Request-Id",
@@ -130,6 +184,34 @@
         request.end_headers()
         request.wfile.write(body)
 
+    def answer(self, request, status, fields, body, framing, resets):
+        """Sends a response whose end is marked by its length, by chunks, or by the end of its connection,
+        which may be a reset."""
+        request.send_response(status)
+        request.send_header("Fireflyroute-Request-Id",
+                            request.headers["Fireflyroute-Request-Id"])
+        for name, value in fields.items():
+            request.send_header(name, value)
+        if framing == "length":
+            request.send_header("Content-Length", str(len(body)))
+        elif framing == "chunked":
+            request.send_header("Transfer-Encoding", "chunked")
+            body = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+        request.end_headers()
+        request.wfile.write(body)
+        request.close_connection = framing == "close"
+        if resets:
+            self.reset(request)
+        elif framing == "close":
+            request.connection.shutdown(socket.SHUT_RDWR)
+
+    def reset(self, request):
+        """Ends the connection with a reset, after the entry has read what was sent."""
+        time.sleep(0.02)
+        request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        request.rfile.close()
+        request.connection.close()
+
     def send_endless(self, request, status):
         """Sends bytes of no meaning until the entry closes the connection."""
         request.send_response(status)
@@ -169,6 +251,8 @@
                     request.connection.shutdown(socket.SHUT_RDWR)
                     request.close_connection = True
                     return
+                if self.is_cut_off(request):
+                    return
                 request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 if fault == "pause" and number == 5:
                     time.sleep(1.5)
@@ -183,6 +267,59 @@
         self.server.server_close()
 
 
+class EntryLink:
+    """The link of an entry to a control VM, for reports that a real entry would make only while its network
+    is partitioned."""
+
+    HANDSHAKE, PROBE, RELAY_LIST = 0, 1, 13  # positions in core::SiteMessage
+
+    def __init__(self, control_ip, vm, data_centre="a"):
+        self.socket = socket.create_connection((control_ip, 7340), timeout=5)
+        self.socket.settimeout(None)
+        self.received, self.relays = b"", None  # None before the first list
+        self.send(self.HANDSHAKE, self.encode(vm) + b"\x01" + self.encode(data_centre))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.socket.close()
+
+    @staticmethod
+    def encode(text):
+        return struct.pack("<Q", len(text)) + text.encode()
+
+    def send(self, kind, fields):
+        message = b"\x01" + struct.pack("<i", kind) + fields  # little-endian
+        self.socket.sendall(struct.pack("<I", len(message)) + message)
+
+    def probe(self, isolated):
+        """Sends a probe and reads what has arrived. Returns the last list of relays."""
+        self.send(self.PROBE, struct.pack("<QB", 1, isolated))
+        try:
+            while True:
+                self.received += self.socket.recv(1 << 16, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            pass
+        while len(self.received) >= 4:
+            end = 4 + struct.unpack_from("<I", self.received)[0]
+            if len(self.received) < end:
+                break
+            message, self.received = self.received[4:end], self.received[end:]
+            if struct.unpack_from("<i", message, 1)[0] == self.RELAY_LIST:
+                self.relays = self.decode_list(message[5:])
+        return self.relays
+
+    @staticmethod
+    def decode_list(fields):
+        items, position = [], 8
+        for _ in range(struct.unpack_from("<Q", fields)[0]):
+            size = struct.unpack_from("<Q", fields, position)[0]
+            items.append(fields[position + 8:position + 8 + size].decode())
+            position += 8 + size
+        return items
+
+
 class Site:
     """Control VMs and entries as real processes, with simulated workers and an operator."""
 
@@ -193,6 +330,8 @@
         self.entries = ["127.%d.2.%d" % (network, i + 1) for i in range(entries)]
         self.network, self.processes, self.workers = network, {}, []
         self.requests = 0
+        self.cuts = {}  # entries that are cut off from the workers: "reset" or "silent"
+        self.cut_over = threading.Event()
 
     def __enter__(self):
         for ip in self.control:
@@ -202,6 +341,7 @@
         return self
 
     def __exit__(self, *_):
+        self.end_cut()
         for worker in self.workers:
             worker.stop()
         for process in self.processes.values():
@@ -221,7 +361,7 @@
             flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip))
         else:
             flags.update(site_callers=ip + ":8227", site_readiness=ip + ":8220",
-                         site_metrics=ip + ":9464")
+                         site_metrics=ip + ":9464", site_relay_port="7355")
         path = os.path.join(self.folder, ip + ".flags")
         with open(path, "w", encoding="utf-8") as file:
             file.writelines("--%s=%s\n" % item for item in flags.items())
@@ -235,6 +375,38 @@
         if signal_number == signal.SIGKILL:
             self.processes[ip].wait()
 
+    def cut(self, ip, how):
+        """Cuts an entry off from all workers: they reset its connections, or keep them and are silent."""
+        self.cut_over.clear()
+        self.cuts = {ip: how}
+
+    def end_cut(self):
+        self.cuts = {}
+        self.cut_over.set()
+
+    def owner_of(self, connection):
+        """Returns the entry on the other side of a worker's connection, or None. All connections come
+        from one IP, so the process that holds the socket tells whose it is. Only looks during a cut."""
+        if not self.cuts:
+            return None
+        try:
+            ends = ["%08X:%04X" % (struct.unpack("=I", socket.inet_aton(ip))[0], port)
+                    for ip, port in (connection.getpeername(), connection.getsockname())]
+        except OSError:
+            return None  # the connection has ended
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            found = re.search(r"%s %s( +\S+){6} +(\d+) " % tuple(ends), file.read())
+        link = found and "socket:[%s]" % found.group(2)
+        for ip in self.entries if found else ():
+            folder = "/proc/%d/fd" % self.processes[ip].pid
+            for descriptor in os.listdir(folder):
+                try:
+                    if os.readlink(os.path.join(folder, descriptor)) == link:
+                        return ip
+                except OSError:
+                    pass  # closed meanwhile
+        return None
+
     def peak_bytes(self, ip):
         """Returns the largest amount of memory that the process has used."""
         with open("/proc/%d/status" % self.processes[ip].pid, encoding="utf-8") as file:
