Let relays learn from their tunnels, and keep one relay's word to oneself

Cause, by a review: an entry that is cut off but keeps working connections does not notice that its tunnels are refused, so it goes on as a relay; the entries that use it take the refusals for crashed endpoints and tell all others, which avoid sound endpoints for 0.4 s and then probe them one request at a time. Result: net.tunnel_test has a new case for the former (it does not compile before); all cases pass.

--- a/app/endpoint_path.cpp
+++ b/app/endpoint_path.cpp
@@ -96,6 +96,16 @@
     return mayBlameEndpoint(exchange, now);
 }
 
+void EndpointPath::recordConnectAttempt(const core::EndpointId &endpoint, bool connected,
+                                        core::Instant now)
+{
+    if (connected)
+        monitor_.recordBytes(now, now);
+    else
+        monitor_.recordConnectFailure(endpoint, now);
+    applyState(now);
+}
+
 bool EndpointPath::mayBlameEndpoint(const EndpointExchange &exchange, core::Instant now) const
 {
     return exchange.connection->isRelayed() || !canRelay(now);
--- a/app/endpoint_path.h
+++ b/app/endpoint_path.h
@@ -65,6 +65,9 @@
     [[nodiscard]] bool recordFailure(EndpointExchange &exchange, const core::EndpointId &endpoint,
                                      const net::ExchangeFailure &failure, core::Instant now);
 
+    // Records an attempt of this entry, as a relay of others, to connect to an endpoint.
+    void recordConnectAttempt(const core::EndpointId &endpoint, bool connected, core::Instant now);
+
     // Whether a failure of the exchange may be the endpoint's.
     [[nodiscard]] bool mayBlameEndpoint(const EndpointExchange &exchange, core::Instant now) const;
 
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -684,7 +684,10 @@
         failAttemptOnPath(outcome, core::nameOf(failure.error));
         return;
     }
-    if (failure.error == net::ExchangeError::ConnectFailed)
+    // A relay that is about to lose its own path may be refused by every endpoint.
+    const bool isRefused = failure.error == net::ExchangeError::ConnectFailed
+                           && !attempt_->exchange.connection->isRelayed();
+    if (isRefused)
         plane_.monitor.recordConnectionRefusal(attempt_->endpoint.id);
     const bool mayHaveCrashed = failure.mayHaveReachedPeer && !attempt_->hasEvent
                                 && failure.error != net::ExchangeError::Malformed;
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -187,6 +187,9 @@
                 [this](const std::string &address) { return plane_.admitTunnel(address); });
         if (!tunnels)
             return fromNet(tunnels.error());
+        tunnels.value()->onConnectAttempt = [this](const std::string &address, bool connected) {
+            plane_.recordTunnelConnect(address, connected);
+        };
         plane_.tunnels = tunnels.value();
         return core::outcome::success();
     }
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -86,11 +86,11 @@
 void TrafficPlane::setView(std::shared_ptr<const core::SiteView> next)
 {
     std::set<core::EndpointId> remaining;
-    endpointAddresses_.clear();
+    endpointsByAddress_.clear();
     for (const auto &[service, endpoints] : next->endpoints) {
         for (const core::EndpointRecord &endpoint : endpoints) {
             remaining.insert(endpoint.id);
-            endpointAddresses_.insert(endpoint.address);
+            endpointsByAddress_.insert_or_assign(endpoint.address, endpoint.id);
         }
     }
     path.setEndpointCount(remaining.size());
@@ -277,8 +277,15 @@
         return net::TunnelStatus::Full;
     if (path.state() != core::PathState::Sound)
         return net::TunnelStatus::Isolated;
-    return endpointAddresses_.contains(address) ? net::TunnelStatus::Opened
-                                                : net::TunnelStatus::NotAllowed;
+    return endpointsByAddress_.contains(address) ? net::TunnelStatus::Opened
+                                                 : net::TunnelStatus::NotAllowed;
+}
+
+void TrafficPlane::recordTunnelConnect(const std::string &address, bool connected)
+{
+    const auto found = endpointsByAddress_.find(address);
+    if (found != endpointsByAddress_.end())
+        path.recordConnectAttempt(found->second, connected, clock.now());
 }
 
 void TrafficPlane::expireIdle()
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -125,6 +125,7 @@
 
     // Whether another entry may open a tunnel to the address through this one.
     [[nodiscard]] net::TunnelStatus admitTunnel(const std::string &address) const;
+    void recordTunnelConnect(const std::string &address, bool connected);
 
     void expireIdle(); // called once a second for connections and sessions
 
@@ -165,7 +166,7 @@
     Budgets &budgetsOf(const core::ServiceName &service);
 
     std::map<core::ServiceName, Budgets> budgets_;
-    std::set<std::string> endpointAddresses_; // of the view
+    std::map<std::string, core::EndpointId> endpointsByAddress_; // of the view
     std::map<OutcomeKey, core::OutcomeCount> outcomes_;
     core::CommonCauseFilter interruptionFilter_;
     const core::Instant startedAt_;
--- a/net/testing/tunnel_test.cpp
+++ b/net/testing/tunnel_test.cpp
@@ -295,6 +295,22 @@
     BOOST_TEST(tunnels->answers[TunnelStatus::Refused] == 2U);
 }
 
+// Guards against a relay that does not notice that it has lost its own path, since only tunnels use
+// it.
+BOOST_FIXTURE_TEST_CASE(relay_learns_from_the_connections_of_its_tunnels, TunnelFixture)
+{
+    std::vector<std::pair<std::string, bool>> attempts;
+    tunnels->onConnectAttempt = [&](const std::string &endpoint, bool connected) {
+        attempts.emplace_back(endpoint, connected);
+    };
+    const std::string address = endpointAddress();
+    BOOST_TEST(statusOf(encodeTunnelRequest(address)) == 'o');
+    endpointAcceptor.close();
+    BOOST_TEST(statusOf(encodeTunnelRequest(address)) == 'r');
+    const std::vector<std::pair<std::string, bool>> expected{{address, true}, {address, false}};
+    BOOST_TEST((attempts == expected));
+}
+
 BOOST_FIXTURE_TEST_CASE(relay_rejects_what_its_policy_rejects, TunnelFixture)
 {
     for (const TunnelStatus status :
--- a/net/tunnel.cpp
+++ b/net/tunnel.cpp
@@ -158,12 +158,16 @@
             reject(verdict);
             return;
         }
-        armTimer(kEndpointConnectTimeout, [this] { reject(TunnelStatus::TimedOut); });
+        armTimer(kEndpointConnectTimeout, [this] {
+            reportConnectAttempt(false);
+            reject(TunnelStatus::TimedOut);
+        });
         endpoint_.socket.async_connect(address.value(),
                                        [self = shared_from_this()](const error_code &error) {
                                            if (!self->open_)
                                                return;
                                            self->timer_.cancel();
+                                           self->reportConnectAttempt(!error);
                                            if (error)
                                                self->reject(TunnelStatus::Refused);
                                            else
@@ -171,6 +175,12 @@
                                        });
     }
 
+    void reportConnectAttempt(bool connected)
+    {
+        if (group_->onConnectAttempt)
+            group_->onConnectAttempt(request_, connected);
+    }
+
     void open()
     {
         configureTunnelSocket(endpoint_.socket);
--- a/net/tunnel.h
+++ b/net/tunnel.h
@@ -75,6 +75,8 @@
     std::size_t maxActive = kMaxTunnels;
     std::size_t active = 0; // accepted connections that have not ended
     std::map<TunnelStatus, std::uint64_t> answers; // sent to clients
+    // Called after each attempt to connect to an endpoint. May be empty.
+    std::function<void(const std::string &endpoint, bool connected)> onConnectAttempt;
 };
 
 // Accepts tunnels on "IP:PORT" for as long as the io_context runs.
