Keep the evidence of crashed endpoints when the path seems lost

Cause, by a review: a connection that is reset after its request was sent may mean a request that crashes endpoints, or a lost path. When it was the one that made the entry count its path as lost, it was no longer reported as a crash, which delays the quarantine. Change: it is reported in either case, as before relaying; the leader decides from all entries' reports.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -677,6 +677,12 @@
     if (!attempt_->hasHead && failure.error != net::ExchangeError::RelayFailed)
         plane_.pool.closeIdle(attempt_->endpoint.id,
                               EndpointPool::pathOf(*attempt_->exchange.connection));
+    const bool mayHaveCrashed = failure.mayHaveReachedPeer && !attempt_->hasEvent
+                                && failure.error != net::ExchangeError::Malformed;
+    if (mayHaveCrashed) {
+        plane_.crashWatch.recordCrash(
+                {attempt_->endpoint.id, attempt_->endpoint.startedAtMs, service_, traits()});
+    }
     if (!isEndpointAtFault) {
         // The relay's view may be newer than this entry's.
         if (failure.relayAnswer == net::TunnelStatus::NotAllowed)
@@ -689,12 +695,6 @@
                            && !attempt_->exchange.connection->isRelayed();
     if (isRefused)
         plane_.monitor.recordConnectionRefusal(attempt_->endpoint.id);
-    const bool mayHaveCrashed = failure.mayHaveReachedPeer && !attempt_->hasEvent
-                                && failure.error != net::ExchangeError::Malformed;
-    if (mayHaveCrashed) {
-        plane_.crashWatch.recordCrash(
-                {attempt_->endpoint.id, attempt_->endpoint.startedAtMs, service_, traits()});
-    }
     failAttempt(outcome, core::nameOf(failure.error), !failure.mayHaveReachedPeer);
 }
 
