--- a/core/testing/relay_directory_benchmark.cpp
+++ b/core/testing/relay_directory_benchmark.cpp
@@ -55,7 +55,7 @@
 {
     Site site(static_cast<std::size_t>(state.range(0)));
     std::size_t next = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(
                 site.directory.recordProbe(site.vms[next++ % site.vms.size()], false, kStart));
 }
@@ -64,7 +64,7 @@
 {
     Site site(static_cast<std::size_t>(state.range(0)));
     std::size_t lists = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         site.toggle(changes);
         site.directory.expire(kStart);
         lists += site.directory.update().size();
