--- a/review/standins.py
+++ b/review/standins.py
@@ -575,10 +575,12 @@
 
 def main(case, run):
     """Runs a case: `run(case)` returns the texts of what broke the rule."""
+    # The processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         broken = run(case)
-    except CannotRun as problem:
-        print("could not run: %s" % problem)
+    except Exception as problem:  # whatever it is, the case says nothing about the rule
+        print("could not run: %r" % problem)
         sys.exit(NOT_RUN)
     with open(os.path.join(case, "record.txt"), "a", encoding="utf-8") as file:
         for text in broken or ["the rule held"]:
