Keep ready endpoints on entries, however long nothing changes

Cause: EndpointRegistry::expire() drops records by the time since their last update. Control VMs update a record with each heartbeat; entries receive changes only, so the record of a sound endpoint grew old and was erased. The published view kept it until the next change of anything.

Change: entries use dropObsolete(), in which time alone ends no ready endpoint. It drops removed records after 90 s, unresponsive ones after 10 min, and those that the leader hasn't sent within 90 s after the link to it opened, as a removal may have been missed before. What leaves the view is logged, and the view is published at once. A record whose address was taken over is kept as removed from that moment; before, its age was that of its last update.

The core tests need the new call. No message changes: a link already begins with all records.

--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -22,9 +22,8 @@
 // failed without an error.
 constexpr std::chrono::milliseconds kLinkTimeout{1600};
 
-// How long records of deregistered endpoints are kept, so that delayed reports about them are
-// recognised.
-constexpr std::chrono::seconds kRecordRetention{90};
+constexpr core::RecordRetention kRecordRetention{std::chrono::seconds(90),
+                                                 std::chrono::minutes(10)};
 
 } // namespace
 
@@ -77,6 +76,7 @@
         net::FrameHandlers handlers;
         handlers.onConnected = [this, vm](net::FrameLink &link) {
             controlPeers_[vm].lastReceivedAt = clock_.now();
+            controlPeers_[vm].connectedAt = clock_.now();
             LogLine(log_, LogKind::Link).add("event", "regained").add("peer", vm.value());
             link.send(
                     net::encodeMessage(core::Handshake{settings_.vm, true, settings_.dataCentre}));
@@ -91,7 +91,7 @@
             requestState();
         };
         const auto link = std::make_shared<net::FrameLink>(io_, handlers);
-        controlPeers_[vm] = ControlPeer{link, clock_.now()};
+        controlPeers_[vm] = ControlPeer{link, clock_.now(), 0, clock_.now()};
         link->dial(address.value());
     }
 }
@@ -121,7 +121,7 @@
     }
     publishFreshness();
     requestState();
-    (void)registry_.expire(now, kRecordRetention, kRecordRetention);
+    dropObsoleteEndpoints();
     probeTimer_.expires_after(kProbePeriod);
     probeTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -270,6 +270,25 @@
     outputs_.viewChanged(std::move(view));
 }
 
+// Only the leader's records are complete: another control VM may be partitioned from the endpoints.
+void SiteEntry::dropObsoleteEndpoints()
+{
+    const auto leader = controlPeers_.find(leader_);
+    if (leader == controlPeers_.end())
+        return;
+    const std::vector<core::EndpointRecord> dropped =
+            registry_.dropObsolete(clock_.now(), leader->second.connectedAt, kRecordRetention);
+    for (const core::EndpointRecord &record : dropped) {
+        LogLine(log_, LogKind::Endpoint)
+                .add("endpoint", record.id.value())
+                .add("address", record.address)
+                .add("state", "dropped")
+                .add("unresponsive", record.unresponsive ? "yes" : "no");
+    }
+    if (!dropped.empty())
+        publishView();
+}
+
 void SiteEntry::publishFreshness()
 {
     const core::Instant until = freshness_.validUntil();
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -82,6 +82,7 @@
         std::shared_ptr<net::FrameLink> link;
         core::Instant lastReceivedAt; // last data, also of an incomplete message
         std::uint64_t receivedTotal = 0; // of the link, at the last probe
+        core::Instant connectedAt; // of the current connection, on which all records were sent
         bool isSameRegion = false; // as it last announced
     };
 
@@ -112,6 +113,7 @@
     void sendProbes();
     void publishFreshness();
     void publishView();
+    void dropObsoleteEndpoints();
 
     boost::asio::io_context &io_;
     SiteSettings settings_;
@@ -126,7 +128,7 @@
     core::VmId leader_; // sender of the last authoritative reply; empty before the first
     core::SiteData state_; // newest state received; its revision never decreases
     std::shared_ptr<const core::SiteTable> table_; // of state_.document; null before the first
-    core::EndpointRegistry registry_;
+    core::EndpointRegistry registry_; // records that changed, and all upon each connection
     core::ConfigFreshness freshness_;
     core::StateFetcher fetcher_;
     std::uint64_t nonce_ = 0;
--- a/core/endpoint_registry.cpp
+++ b/core/endpoint_registry.cpp
@@ -23,11 +23,13 @@
     if (found == endpoints_.end()) {
         if (record.state != EndpointRecordState::Removed && isAddressTaken(record))
             return RegistryChange::Outdated;
-        removeOthersAtAddress(record);
-        endpoints_.emplace(record.id, Registration{record, now});
+        removeOthersAtAddress(record, now);
+        endpoints_.emplace(record.id, Registration{record, now, now});
         return RegistryChange::Changed;
     }
     const EndpointRecord &current = found->second.record;
+    if (record.startedAtMs == current.startedAtMs)
+        found->second.receivedAt = now;
     const auto order = [](const EndpointRecord &candidate) {
         return std::tie(candidate.startedAtMs, candidate.sequence);
     };
@@ -45,8 +47,9 @@
     const bool isSame = hasSameContent(registration.record, record);
     registration.record = record;
     registration.lastSeenAt = now;
+    registration.receivedAt = now;
     if (isNewIncarnation)
-        removeOthersAtAddress(record);
+        removeOthersAtAddress(record, now);
     return isSame ? RegistryChange::Refreshed : RegistryChange::Changed;
 }
 
@@ -80,7 +83,7 @@
     return false;
 }
 
-void EndpointRegistry::removeOthersAtAddress(const EndpointRecord &record)
+void EndpointRegistry::removeOthersAtAddress(const EndpointRecord &record, Instant now)
 {
     if (record.state == EndpointRecordState::Removed)
         return;
@@ -89,6 +92,7 @@
             continue;
         registration.record.state = EndpointRecordState::Removed;
         registration.record.sequence = kFinalSequence;
+        registration.lastSeenAt = now;
     }
 }
 
@@ -114,6 +118,30 @@
     return unresponsive;
 }
 
+std::vector<EndpointRecord> EndpointRegistry::dropObsolete(Instant now, Instant senderConnectedAt,
+                                                           const RecordRetention &retention)
+{
+    std::vector<EndpointRecord> dropped;
+    const auto isObsolete = [&](const Registration &registration) {
+        const Duration age = now - registration.lastSeenAt;
+        if (registration.record.state == EndpointRecordState::Removed)
+            return age >= retention.removed;
+        if (registration.record.unresponsive)
+            return age >= retention.unresponsive;
+        return registration.receivedAt < senderConnectedAt
+               && now - senderConnectedAt >= retention.removed;
+    };
+    std::erase_if(endpoints_, [&](const auto &item) {
+        const Registration &registration = item.second;
+        if (!isObsolete(registration))
+            return false;
+        if (registration.record.state != EndpointRecordState::Removed)
+            dropped.push_back(registration.record);
+        return true;
+    });
+    return dropped;
+}
+
 std::vector<EndpointRecord> EndpointRegistry::all() const
 {
     std::vector<EndpointRecord> records;
--- a/core/endpoint_registry.h
+++ b/core/endpoint_registry.h
@@ -5,7 +5,8 @@
 //   if (registry.apply(record, now) == RegistryChange::Changed)
 //       ...                                          // notify the entries
 //   for (const EndpointRecord &record : registry.expire(now, heartbeatTimeout, retention))
-//       ...
+//       ...                                          // control VMs, which receive each report
+//   registry.dropObsolete(now, leaderConnectedAt, retention);  // entries, which receive changes
 //
 // Records of one id are ordered by the start time of the endpoint and the sequence number of the
 // report, never by arrival. If two ids share an address, the one that started later keeps it and
@@ -65,6 +66,13 @@
 // later. Refreshed: newer, but with the same content.
 enum class RegistryChange { Outdated, Refreshed, Changed };
 
+// How long records that are no longer in use are kept.
+struct RecordRetention
+{
+    Duration removed{}; // so that delayed reports are recognised
+    Duration unresponsive{}; // such an endpoint may still answer requests
+};
+
 class EndpointRegistry
 {
 public:
@@ -78,6 +86,14 @@
     // Drops records without an update for `retention`.
     std::vector<EndpointRecord> expire(Instant now, Duration heartbeatTimeout, Duration retention);
 
+    // For a registry that receives changes only, so that a record may be old and still correct.
+    // The sender sends all its records when it connects, at `senderConnectedAt`. Drops removed
+    // records that were not updated for `retention.removed`, unresponsive ones that were not
+    // updated for `retention.unresponsive`, and others that the sender has not sent within
+    // `retention.removed` after it connected. Returns the dropped records that were not removed.
+    std::vector<EndpointRecord> dropObsolete(Instant now, Instant senderConnectedAt,
+                                             const RecordRetention &retention);
+
     [[nodiscard]] std::vector<EndpointRecord> all() const;
     [[nodiscard]] const EndpointRecord *find(const EndpointId &id) const;
 
@@ -85,12 +101,13 @@
     struct Registration
     {
         EndpointRecord record;
-        Instant lastSeenAt;
+        Instant lastSeenAt; // last update, or removal
+        Instant receivedAt; // last record of this incarnation, also if it was outdated
     };
 
     RegistryChange update(Registration &registration, const EndpointRecord &record, Instant now);
     [[nodiscard]] bool isAddressTaken(const EndpointRecord &record) const;
-    void removeOthersAtAddress(const EndpointRecord &record);
+    void removeOthersAtAddress(const EndpointRecord &record, Instant now);
 
     std::map<EndpointId, Registration> endpoints_;
 };
--- a/core/testing/endpoint_registry_test.cpp
+++ b/core/testing/endpoint_registry_test.cpp
@@ -102,3 +102,74 @@
     (void)registry.expire(kStart + 60s, 5s, 60s);
     BOOST_TEST(registry.all().empty());
 }
+
+// Guards against entries that forget ready endpoints because nothing about them changes, and refuse
+// all requests (review/1).
+BOOST_AUTO_TEST_CASE(ready_endpoint_without_changes_is_never_obsolete)
+{
+    const RecordRetention retention{90s, 600s};
+    EndpointRegistry registry;
+    (void)registry.apply(makeRecord("a", 100, 1), kStart);
+    for (const auto age : {89s, 90s, 91s, 3600s, 86400s})
+        BOOST_TEST(registry.dropObsolete(kStart + age, kStart, retention).empty());
+    BOOST_TEST((stateOf(registry, "a") == EndpointRecordState::Ready));
+}
+
+// Guards against endpoints that were removed while the registry had no sender: nothing reports the
+// removal afterwards.
+BOOST_AUTO_TEST_CASE(endpoint_that_a_new_connection_does_not_confirm_is_dropped)
+{
+    const RecordRetention retention{90s, 600s};
+    EndpointRegistry registry;
+    const auto apply = [&](const std::string &id, std::uint64_t startedAtMs, std::uint64_t sequence,
+                           Instant now) {
+        EndpointRecord record = makeRecord(id, startedAtMs, sequence);
+        record.address = id + ":8080";
+        return registry.apply(record, now);
+    };
+    (void)apply("kept", 100, 5, kStart);
+    (void)apply("lost", 100, 5, kStart);
+    (void)apply("restarted", 100, 5, kStart);
+    const Instant reconnectedAt = kStart + 120s;
+    // An outdated report of the same incarnation still shows that the sender knows the endpoint.
+    BOOST_TEST((apply("kept", 100, 4, reconnectedAt) == RegistryChange::Outdated));
+    (void)apply("restarted", 99, 9, reconnectedAt);
+    BOOST_TEST(registry.dropObsolete(reconnectedAt + 89s, reconnectedAt, retention).empty());
+    BOOST_TEST(registry.dropObsolete(reconnectedAt + 90s, reconnectedAt, retention).size() == 2U);
+    BOOST_TEST(registry.all().size() == 1U);
+    BOOST_TEST((stateOf(registry, "kept") == EndpointRecordState::Ready));
+}
+
+// Guards against entries that forget endpoints that only the control VMs can't reach: they may
+// still answer requests.
+BOOST_AUTO_TEST_CASE(unresponsive_and_removed_endpoints_have_their_own_retention)
+{
+    const RecordRetention retention{90s, 600s};
+    EndpointRegistry registry;
+    EndpointRecord unresponsive = makeRecord("a", 100, 1);
+    unresponsive.unresponsive = true;
+    (void)registry.apply(unresponsive, kStart);
+    EndpointRecord removed = makeRecord("b", 100, 1);
+    removed.address = "10.0.0.8:8080";
+    (void)registry.apply(removed, kStart);
+    (void)registry.deregister(EndpointId("b"), 0, kStart + 10s);
+    (void)registry.dropObsolete(kStart + 99s, kStart, retention);
+    BOOST_TEST(registry.all().size() == 2U);
+    BOOST_TEST(registry.dropObsolete(kStart + 100s, kStart, retention).empty());
+    BOOST_TEST(registry.find(EndpointId("b")) == nullptr);
+    BOOST_TEST(registry.dropObsolete(kStart + 599s, kStart, retention).empty());
+    BOOST_TEST(registry.dropObsolete(kStart + 600s, kStart, retention).size() == 1U);
+}
+
+// Guards against a delayed report that brings back an endpoint whose address was taken over.
+BOOST_AUTO_TEST_CASE(endpoint_whose_address_was_taken_over_is_kept_as_removed)
+{
+    const RecordRetention retention{90s, 600s};
+    EndpointRegistry registry;
+    (void)registry.apply(makeRecord("old", 100, 1), kStart);
+    (void)registry.apply(makeRecord("new", 200, 1), kStart + 200s);
+    (void)registry.dropObsolete(kStart + 201s, kStart, retention);
+    BOOST_TEST(registry.all().size() == 2U);
+    (void)registry.dropObsolete(kStart + 290s, kStart, retention);
+    BOOST_TEST(registry.all().size() == 1U);
+}
