Refuse late streams in a planned stop by the kind of their route

Cause: the traffic plane took a request for a stream if its service had models, while the deadline before the exit goes by the kind of the route. A stream to a service without models got neither.

Change: ProxyRequest asks refusesNewStreams() where it picks an endpoint, by the kind of the route; the candidates no longer depend on the stop. Calls to services with models are now taken as long as other calls.

Evidence: test_stream_of_a_service_without_models_is_not_started_late_in_a_stop fails with the build before (IncompleteRead, 212 bytes) and passes with this one, one run each.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -240,6 +240,10 @@
     const auto endpoints = plane_.view->endpoints.find(service_);
     if (endpoints == plane_.view->endpoints.end())
         return {};
+    // An attempt after another one continues a stream that the process has to finish anyway.
+    const bool isContinued = responseStarted_ || !excluded.empty();
+    if (isStream() && !isContinued && plane_.refusesNewStreams(now))
+        return {};
     core::VersionGate gate(rollout == plane_.view->rollouts.end() ? nullptr : &rollout->second,
                            endpoints->second);
     const bool hasSession = !meta_.session.empty();
@@ -253,9 +257,8 @@
         query.match = &match;
     }
     const auto pick = [&] {
-        const bool isContinued = responseStarted_ || !excluded.empty();
-        return plane_.picker.pick(plane_.candidates(service_, gate, excluded, isContinued, now),
-                                  query, plane_.monitor, now);
+        return plane_.picker.pick(plane_.candidates(service_, gate, excluded, now), query,
+                                  plane_.monitor, now);
     };
     const core::PickResult best = pick();
     if (best.endpoint || !gate.isCanary())
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -210,6 +210,34 @@
                        "the entry to exit")
             self.assertEqual(site.processes[site.entries[0]].returncode, 0)
 
+    # Guards against streams to services without models that are started late in a planned stop and cut
+    # by the exit (review/3).
+    def test_stream_of_a_service_without_models_is_not_started_late_in_a_stop(self):
+        with Site(52) as site:
+            site.configure(1)
+            site.worker("i-1", "ledger", faults={"x": "slow"})
+            site.wait_until_served("/calls/1", "/letters/1")
+            responses = []
+            caller = threading.Thread(
+                target=lambda: responses.append(site.request("/letters/x")))
+            caller.start()
+            wait_until(lambda: any(run[1] == "/letters/x" for run in site.workers[0].runs),
+                       "the first stream to run")
+            site.kill(site.entries[0], signal.SIGTERM)
+            wait_until(lambda: not site.is_ready(), "the entry is not ready")
+            time.sleep(3.2)
+            runs = len(site.workers[0].runs)
+            status, headers, _ = site.request("/letters/x")
+            self.assertEqual(status, 503)
+            self.assertIn("Retry-After", headers)
+            self.assertEqual(len(site.workers[0].runs), runs)
+            self.assertEqual(site.request("/calls/1")[0], 200)
+            caller.join()
+            self.assertEqual((responses[0][0], responses[0][2]), (200, COMPLETE_STREAM))
+            wait_until(lambda: site.processes[site.entries[0]].poll() is not None,
+                       "the entry to exit")
+            self.assertEqual(site.processes[site.entries[0]].returncode, 0)
+
     def test_restarted_site_serves_with_its_newest_configuration(self):
         with Site(17) as site:
             site.configure(4)
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -67,6 +67,11 @@
     , startedAt_(clock.now())
 {}
 
+bool TrafficPlane::refusesNewStreams(core::Instant now) const
+{
+    return refuseRequestsFrom && now >= *refuseRequestsFrom - kStreamStopMargin;
+}
+
 bool TrafficPlane::isStarting(core::Instant now) const
 {
     return now - startedAt_ < kStartupPeriod && waitingRequests_.size() < kMaxWaitingRequests;
@@ -108,18 +113,12 @@
 
 std::vector<const core::EndpointRecord *>
 TrafficPlane::candidates(const core::ServiceName &service, const core::VersionGate &gate,
-                         const std::set<core::EndpointId> &excluded, bool isContinued,
-                         core::Instant now) const
+                         const std::set<core::EndpointId> &excluded, core::Instant now) const
 {
     std::vector<const core::EndpointRecord *> usable;
     std::vector<const core::EndpointRecord *> suspected;
     const auto found = view->endpoints.find(service);
-    // A stream may outlast a stopping process, so no new one is started late.
-    const core::Service *serviceConfig = view->table ? view->table->service(service) : nullptr;
-    const bool isStream = serviceConfig && !serviceConfig->models.empty();
-    const bool isStoppingSoon =
-            refuseRequestsFrom && now >= *refuseRequestsFrom - kStreamStopMargin;
-    if (found == view->endpoints.end() || (isStream && isStoppingSoon && !isContinued))
+    if (found == view->endpoints.end())
         return usable;
     for (const core::EndpointRecord &endpoint : found->second) {
         const bool isAllowed = endpoint.state == core::EndpointRecordState::Ready
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -72,6 +72,9 @@
         return refuseRequestsFrom && now >= *refuseRequestsFrom;
     }
 
+    // Whether the process is about to stop and must start no stream, because it could outlast it.
+    [[nodiscard]] bool refusesNewStreams(core::Instant now) const;
+
     // Whether the process started so recently that state and endpoints may still be missing.
     // Requests that can't be served for this reason wait. False if too many of them wait already.
     [[nodiscard]] bool isStarting(core::Instant now) const;
@@ -81,12 +84,10 @@
     void notifyChanged();
 
     // Returns the endpoints that are eligible for an attempt; those that the monitor considers
-    // unusable only if there are no others. `isContinued`: the request was sent to an endpoint
-    // before, so it may be sent again while the process stops.
+    // unusable only if there are no others.
     [[nodiscard]] std::vector<const core::EndpointRecord *>
     candidates(const core::ServiceName &service, const core::VersionGate &gate,
-               const std::set<core::EndpointId> &excluded, bool isContinued,
-               core::Instant now) const;
+               const std::set<core::EndpointId> &excluded, core::Instant now) const;
 
     void recordRequest(const core::ServiceName &service, core::Instant now);
     [[nodiscard]] bool tryRetry(const core::ServiceName &service, core::Instant now);
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -164,7 +164,7 @@
             self.send_endless(request, 500)
         elif fault == "unsealed":
             self.reply(request, 200, {}, b"forged")
-        elif "Fireflyroute-Model" in request.headers:
+        elif "Fireflyroute-Model" in request.headers or request.path.startswith("/letters/"):
             self.stream(request, fault)
         else:
             self.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL},
@@ -229,7 +229,7 @@
 
     def stream(self, request, fault):
         request.send_response(200)
-        confidence = {"small": "20", "large": "95"}[request.headers["Fireflyroute-Model"]]
+        confidence = {"small": "20", "large": "95"}.get(request.headers["Fireflyroute-Model"], "100")
         for name, value in (("Fireflyroute-Request-Id",
                              request.headers["Fireflyroute-Request-Id"]),
                             ("Fireflyroute-Response-Seal", SEAL),
@@ -466,6 +466,7 @@
                 route("refund", "/refunds/", "unsafe", "ledger", maxAttempts=1),
                 route("draft", "/drafts/", "streaming", "llm", resumable=True, sticky=True,
                       sizes=["small", "large"], **(draft_fields or {})),
+                route("letter", "/letters/", "streaming", "ledger", resumable=True),
             ],
             "services": [{"name": "ledger"},
                          {"name": "llm", "engine": {"stride": 1, "models": [
