Let the leader replace lost voters without being asked

Cause: only a join request made the leader act, and a learner sent it to the seeds of its start alone. With these gone, nobody asked.

A VM that is to join asks the members it knows too, and only the leader while that is in contact. New seeds reach the replica. No message or stored format changes.

--- a/app/replica_driver.cpp
+++ b/app/replica_driver.cpp
@@ -51,6 +51,7 @@
     // Longer than a restart after a kill, so that only VMs that are really lost are replaced.
     policy.replaceVoterAfter = std::chrono::milliseconds(2500);
     policy.removeLearnerAfter = std::chrono::seconds(20);
+    policy.promotesLearners = true;
     return policy;
 }
 
--- a/app/replica_driver.h
+++ b/app/replica_driver.h
@@ -63,6 +63,7 @@
     void propose(std::string payload, ProposalCallback callback);
     void receive(const core::ReplicaMessage &message);
     void transferLeadership();
+    void setSeeds(std::vector<core::VmId> seeds) { replica_.setSeeds(std::move(seeds)); }
 
     [[nodiscard]] const core::Replica &replica() const { return replica_; }
     [[nodiscard]] bool isLeader() const;
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -526,6 +526,7 @@
 void SiteControl::reload(const SiteSettings &settings)
 {
     settings_.seeds = settings.seeds;
+    driver_->setSeeds(settings_.seedVms());
     connectControlVms();
 }
 
--- a/core/replica.h
+++ b/core/replica.h
@@ -59,6 +59,9 @@
     // When the next Tick is due.
     [[nodiscard]] Instant nextDeadline() const;
 
+    // Replaces the seeds that receive join requests.
+    void setSeeds(std::vector<VmId> seeds) { config_.seeds = std::move(seeds); }
+
     // Returns the end of the leader lease, before which no other leader can be elected. Nullopt if
     // this replica is not the leader, has not yet committed an entry of its term, gave up the lease
     // for a leadership transfer, or has no recent heartbeat round that a majority confirmed.
@@ -166,6 +169,8 @@
     void tickLeader();
     [[nodiscard]] std::optional<ReplicaId> findReplaceableVoter() const;
     void removeLostLearner();
+    void promoteLearners();
+    bool startJoinStep(const ReplicaId &id, MemberRole role);
     void confirmReads();
     void sendTimeoutNowWhenReady();
     [[nodiscard]] bool isCaughtUp(const ReplicaId &id) const;
--- a/core/replica_campaign.cpp
+++ b/core/replica_campaign.cpp
@@ -2,6 +2,7 @@
 
 #include "core/replica.h"
 
+#include <set>
 #include <utility>
 
 namespace fireflyroute::core {
@@ -150,10 +151,14 @@
 void Replica::sendJoinRequests()
 {
     joinDeadline_ = now_ + config_.timing.joinInterval;
-    for (const VmId &seed : config_.seeds) {
-        if (seed != config_.self.vm)
-            send(ReplicaId{seed, Incarnation{0}}, JoinRequest{config_.targetRole});
-    }
+    std::set<VmId> receivers(config_.seeds.begin(), config_.seeds.end());
+    for (const Member &member : membership().members)
+        receivers.insert(member.id.vm);
+    if (leader_ && refusesVotes())
+        receivers = {leader_->vm};
+    receivers.erase(config_.self.vm);
+    for (const VmId &receiver : receivers)
+        send(ReplicaId{receiver, Incarnation{0}}, JoinRequest{config_.targetRole});
 }
 
 // The seeds may all be followers or former members, so a follower forwards the join request to the
--- a/core/replica_config.h
+++ b/core/replica_config.h
@@ -47,6 +47,9 @@
     // A voter that has not replied for this time is replaced by a caught-up spare.
     std::optional<Duration> replaceVoterAfter;
     std::optional<Duration> removeLearnerAfter; // time without a reply until a learner is removed
+    // The leader promotes caught-up learners in place of missing and replaceable voters also if no
+    // join request arrives, as the seeds that a learner asks may be gone.
+    bool promotesLearners = false;
 };
 
 struct ReplicaConfig
@@ -54,7 +57,8 @@
     GroupId group{0};
     ReplicaId self;
     MemberRole targetRole = MemberRole::Voter;
-    std::vector<VmId> seeds; // control VMs that receive the join requests
+    // Control VMs that receive the join requests, besides the known members.
+    std::vector<VmId> seeds;
     ReplicaTiming timing;
     ReplicaLimits limits;
     MembershipPolicy membershipPolicy;
--- a/core/replica_leader.cpp
+++ b/core/replica_leader.cpp
@@ -171,11 +171,29 @@
         forwardJoinRequest(message, body);
         return;
     }
-    const JoinCandidate candidate{message.from, body.role, isCaughtUp(message.from),
-                                  config_.membershipPolicy.maxVoters, findReplaceableVoter()};
+    (void)startJoinStep(message.from, body.role);
+}
+
+// Starts the next change of membership by which the VM gets the role. Returns whether there was one
+// that is allowed now.
+bool Replica::startJoinStep(const ReplicaId &id, MemberRole role)
+{
+    const JoinCandidate candidate{id, role, isCaughtUp(id), config_.membershipPolicy.maxVoters,
+                                  findReplaceableVoter()};
     const std::optional<MembershipChange> change = planJoin(membership(), candidate);
-    if (change)
-        (void)tryChange(*change);
+    return change && tryChange(*change);
+}
+
+void Replica::promoteLearners()
+{
+    if (!config_.membershipPolicy.promotesLearners)
+        return;
+    const std::vector<Member> members = membership().members;
+    for (const Member &member : members) {
+        const bool isWaiting = member.role == MemberRole::Learner && isCaughtUp(member.id);
+        if (isWaiting && startJoinStep(member.id, MemberRole::Voter))
+            return;
+    }
 }
 
 // Returns the voter with the oldest last reply, if that is at least replaceVoterAfter ago.
@@ -254,6 +272,7 @@
     startHeartbeatRound();
     replicate();
     removeLostLearner();
+    promoteLearners();
 }
 
 std::optional<Instant> Replica::leaseUntil(Instant now) const
