Apply the limits in force to requests on kept connections

Cause: the parser of a request got its limits when the request before it was dispatched.

Change: the limits in force are set until the head of a request is complete. Besides, a planned stop answers a request that has arrived on an idle connection and isn't read yet; before, it reset the connection.

--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -45,11 +45,15 @@
 
 struct ServerSession::Parser
 {
-    explicit Parser(const SessionLimits &limits)
+    Parser() { parser.eager(true); }
+
+    // The limits in force hold for a request until its head is complete.
+    void setLimits(const SessionLimits &limits)
     {
+        if (parser.is_header_done())
+            return;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
-        parser.eager(true);
     }
 
     http::request_parser<http::string_body> parser;
@@ -61,7 +65,7 @@
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
     , group_(std::move(group))
-    , parser_(std::make_unique<Parser>(group_->limits))
+    , parser_(std::make_unique<Parser>())
 {
     group_->sessions.insert(this);
 }
@@ -128,6 +132,7 @@
         state.requestStarted = true;
         armTimer(group_->limits.headerTimeout);
     }
+    state.setLimits(group_->limits);
     error_code error;
     const std::size_t consumed = state.parser.put(asio::buffer(input_), error);
     input_.erase(0, consumed);
@@ -170,7 +175,7 @@
     keepAlive_ = message.keep_alive();
     omitBody_ = request.method == "HEAD";
     requestActive_ = true;
-    parser_ = std::make_unique<Parser>(group_->limits);
+    parser_ = std::make_unique<Parser>();
     if (input_.empty())
         input_.shrink_to_fit();
     awaitReadable();
@@ -318,8 +323,10 @@
 
 void ServerSession::closeIfIdle()
 {
-    const bool isIdle =
-            !requestActive_ && output_.empty() && input_.empty() && !parser_->requestStarted;
+    // A request that has arrived but isn't read yet is answered, not reset.
+    error_code ignored;
+    const bool isIdle = !requestActive_ && output_.empty() && input_.empty()
+                        && !parser_->requestStarted && socket_.available(ignored) == 0;
     if (isIdle)
         close();
 }
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -440,6 +440,51 @@
     BOOST_TEST(group.value()->sessions.empty());
 }
 
+// Guards against kept connections on which the limits of an earlier configuration hold (review/4).
+BOOST_FIXTURE_TEST_CASE(limits_in_force_apply_to_kept_connections, HttpSessionFixture)
+{
+    SessionLimits limits;
+    limits.bodyBytes = 100;
+    limits.headerBytes = 1000;
+    const std::string address = startServer(limits);
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    BOOST_TEST(statusOfRequest(caller) == 200U);
+    const auto statusOf = [&](std::size_t bodyBytes, std::size_t fieldBytes) {
+        const std::string request = "POST / HTTP/1.1\r\nX: " + std::string(fieldBytes, 'x')
+                                    + "\r\nContent-Length: " + std::to_string(bodyBytes)
+                                    + "\r\n\r\n" + std::string(bodyBytes, 'x');
+        boost::asio::write(caller, boost::asio::buffer(request));
+        return statusOfResponse(caller);
+    };
+    group->limits.bodyBytes = 200;
+    BOOST_TEST(statusOf(200, 1) == 200U);
+    group->limits.headerBytes = 2000;
+    BOOST_TEST(statusOf(1, 1500) == 200U);
+    // The limit changes while half of a head has been read.
+    boost::asio::write(caller, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nX: x\r\n")));
+    io.restart();
+    io.run_for(50ms);
+    group->limits.bodyBytes = 300;
+    boost::asio::write(caller,
+                       boost::asio::buffer("Content-Length: 300\r\n\r\n" + std::string(300, 'x')));
+    BOOST_TEST(statusOfResponse(caller) == 200U);
+    group->limits.bodyBytes = 50;
+    BOOST_TEST(statusOf(51, 1) == 413U);
+}
+
+// Guards against requests that a planned stop resets because they have arrived, but are not read.
+BOOST_FIXTURE_TEST_CASE(drain_answers_a_request_that_is_not_read_yet, HttpSessionFixture)
+{
+    const std::string address = startServer(SessionLimits());
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    BOOST_TEST(statusOfRequest(caller) == 200U);
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    drainSessions(*group);
+    BOOST_TEST(statusOfResponse(caller) == 200U);
+}
+
 // Guards against a session that holds all that an endpoint sends while its caller reads nothing.
 BOOST_FIXTURE_TEST_CASE(congested_session_reports_when_its_caller_catches_up, HttpSessionFixture)
 {
