Reserve the ports of test processes

Cause, suspected and not shown, of three entries of KNOWN-RED.txt: a test asked the kernel for a free port and released it, and until its process bound it, the kernel could give it to another process or an outgoing connection.

Change: ports below the ephemeral ones, each reserved by a lock file until the test process ends. The entries stay until they have been shown to be gone.

--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -1,12 +1,14 @@
 """Starts the processes of one deployment on loopback and terminates them by process id.
 
-Used by the demo and by tests that run the real binary. The system assigns the ports, and data
-folders are temporary.
+Used by the demo and by tests that run the real binary. Ports are reserved, and data folders are
+temporary.
 """
 
+import fcntl
 import hashlib
 import json
 import os
+import random
 import shutil
 import socket
 import subprocess
@@ -21,12 +23,34 @@
 ENGINE = os.path.join(BUILD, "testing", "model_engine")
 SERVICE = os.path.join(BUILD, "testing", "plain_service")
 
+PORT_COUNT = 10000  # ports below the ephemeral ones that free_address() chooses from
+RESERVATIONS = []  # open lock files of the ports that this process has reserved
+
+
+def reserve_port(port):
+    """Reserves a port among all processes that use this function. Returns whether it was free."""
+    path = os.path.join(tempfile.gettempdir(), "fireflyroute-port-%d.lock" % port)
+    lock = open(path, "w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(("127.0.0.1", port))
+    except OSError:
+        lock.close()
+        return False
+    RESERVATIONS.append(lock)
+    return True
+
 
 def free_address():
-    """Returns a loopback address whose port was free at the time of the call."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "http://127.0.0.1:%d" % sock.getsockname()[1]
+    """Returns a loopback address whose port is reserved until this process ends. The kernel gives ports
+    below the ephemeral ones to no outgoing connection, so the port is still free when it is bound."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
+        first_ephemeral = int(file.read().split()[0])
+    ports = range(max(1024, first_ephemeral - PORT_COUNT), first_ephemeral)
+    port = next(port for port in random.sample(ports, len(ports)) if reserve_port(port))
+    return "http://127.0.0.1:%d" % port
 
 
 def http(method, url, body=None, headers=None, timeout=20):
