--- a/app/testing/quiet_site_test.py
+++ b/app/testing/quiet_site_test.py
@@ -24,7 +24,7 @@
                 wait_until(lambda entry=entry: site.is_ready(entry), "the entry is ready")
                 wait_until(lambda entry=entry: site.request("/calls/1", entry=entry)[0] == 200,
                            "the call is served")
-            # One worker is lost, so that its record is obsolete by the end of the calm.
+            # The last change of any endpoint is the loss of one worker, early in the calm.
             workers[2].stop()
             time.sleep(QUIET_S)
             site.configure(2, prefix="/lookups/")
