List a process that didn't start in time, and show its log next time

Not traced: the log was lost with the folder. The message of the time-out now has the exit code, the address and the end of the log.

--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -115,7 +115,11 @@
         if control:
             arguments.append("--control=" + control)
         self.spawn(name, arguments + list(extra))
-        wait_until(lambda: http("GET", address + "/healthz")[0] == 200, name + " to start")
+        try:
+            wait_until(lambda: http("GET", address + "/healthz")[0] == 200, name + " to start")
+        except AssertionError as failure:
+            raise AssertionError("%s (exit code %s, %s): %s" % (
+                failure, self.processes[name].poll(), address, self.log(name)[-2000:])) from failure
         return address
 
     def control_group(self, count):
