--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -276,14 +276,19 @@
     const auto leader = controlPeers_.find(leader_);
     if (leader == controlPeers_.end())
         return;
+    const core::Instant now = clock_.now();
+    const core::Instant connectedAt = leader->second.connectedAt;
     const std::vector<core::EndpointRecord> dropped =
-            registry_.dropObsolete(clock_.now(), leader->second.connectedAt, kRecordRetention);
+            registry_.dropObsolete(now, connectedAt, kRecordRetention);
     for (const core::EndpointRecord &record : dropped) {
         LogLine(log_, LogKind::Endpoint)
                 .add("endpoint", record.id.value())
                 .add("address", record.address)
                 .add("state", "dropped")
-                .add("unresponsive", record.unresponsive ? "yes" : "no");
+                .add("unresponsive", record.unresponsive ? "yes" : "no")
+                .add("sequence", static_cast<std::int64_t>(record.sequence))
+                .add("leader", leader_.value())
+                .add("link_age_ms", core::toMillis(now - connectedAt));
     }
     if (!dropped.empty())
         publishView();
--- a/app/testing/quiet_site_test.py
+++ b/app/testing/quiet_site_test.py
@@ -9,7 +9,7 @@
 
 from platform_stand_in import Site, call, wait_until  # noqa: E402
 
-# Longer than any time after which entries and control VMs drop records.
+# Longer than entries keep the records of removed endpoints.
 QUIET_S = 95
 
 
--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -36,6 +36,23 @@
         self.assertEqual(len(leaders), 1)
         return leaders[0]
 
+    def start_request(self, site, path, **options):
+        """Sends a request and waits until the first worker runs it. Returns the thread of its caller and
+        the list that receives the response."""
+        responses = []
+        caller = threading.Thread(target=lambda: responses.append(site.request(path, **options)))
+        caller.start()
+        wait_until(lambda: any(run[1] == path for run in site.workers[0].runs), path + " to run")
+        return caller, responses
+
+    def begin_stop(self, site):
+        site.kill(site.entries[0], signal.SIGTERM)
+        wait_until(lambda: not site.is_ready(), "the entry is not ready")
+
+    def assert_clean_exit(self, site):
+        wait_until(lambda: site.processes[site.entries[0]].poll() is not None, "the entry to exit")
+        self.assertEqual(site.processes[site.entries[0]].returncode, 0)
+
     def test_requests_are_matched_authorised_and_answered_unchanged(self):
         with Site(11) as site:
             site.configure(1)
@@ -166,14 +183,8 @@
             fields = {"Fireflyroute-Model": "*", "Fireflyroute-Token-Counts": "10,12"}
             wait_until(site.is_ready, "the entry is ready")
             wait_until(lambda: site.request("/drafts/1", headers=fields)[0] == 200, "drafts")
-            responses = []
-            caller = threading.Thread(target=lambda: responses.append(
-                site.request("/drafts/x", headers=fields)))
-            caller.start()
-            wait_until(lambda: any(run[1] == "/drafts/x" for run in site.workers[0].runs),
-                       "the request to run")
-            site.kill(site.entries[0], signal.SIGTERM)
-            wait_until(lambda: not site.is_ready(), "the entry is not ready")
+            caller, responses = self.start_request(site, "/drafts/x", headers=fields)
+            self.begin_stop(site)
             # The load balancer may still send requests to a stopping entry (inc-acea). It serves a
             # call that can't outlast the process, but starts no stream.
             time.sleep(3.2)
@@ -181,9 +192,7 @@
             self.assertEqual(site.request("/drafts/1", headers=fields)[0], 503)
             caller.join()
             self.assertEqual((responses[0][0], responses[0][2]), (200, COMPLETE_STREAM))
-            wait_until(lambda: site.processes[site.entries[0]].poll() is not None,
-                       "the entry to exit")
-            self.assertEqual(site.processes[site.entries[0]].returncode, 0)
+            self.assert_clean_exit(site)
 
     # Guards against calls that arrive late in a planned stop, are passed on and are cut by the exit
     # without an answer because their worker takes longer (LOST).
@@ -199,17 +208,14 @@
                 target=lambda: statuses.append(site.request("/refunds/late")[0]))
             earlier_call.start()
             wait_until(lambda: site.entry_metric("entry_attempts_total") >= 3, "the call is sent")
-            site.kill(site.entries[0], signal.SIGTERM)
-            wait_until(lambda: not site.is_ready(), "the entry is not ready")
+            self.begin_stop(site)
             time.sleep(3.5)
             self.assertEqual(site.request("/refunds/late")[0], 504)
             earlier_call.join()
             self.assertEqual(statuses, [200])
             wait_until(lambda: len(worker.runs) >= 4, "the worker records the second call")
             self.assertLess(int(worker.runs[-1][2]["Fireflyroute-Deadline-Ms"]), 4500)
-            wait_until(lambda: site.processes[site.entries[0]].poll() is not None,
-                       "the entry to exit")
-            self.assertEqual(site.processes[site.entries[0]].returncode, 0)
+            self.assert_clean_exit(site)
 
     # Guards against streams to services without models that are started late in a planned stop and cut
     # by the exit (review/3).
@@ -218,14 +224,8 @@
             site.configure(1)
             site.worker("i-1", "ledger", faults={"x": "slow"})
             site.wait_until_served("/calls/1", "/letters/1")
-            responses = []
-            caller = threading.Thread(
-                target=lambda: responses.append(site.request("/letters/x")))
-            caller.start()
-            wait_until(lambda: any(run[1] == "/letters/x" for run in site.workers[0].runs),
-                       "the first stream to run")
-            site.kill(site.entries[0], signal.SIGTERM)
-            wait_until(lambda: not site.is_ready(), "the entry is not ready")
+            caller, responses = self.start_request(site, "/letters/x")
+            self.begin_stop(site)
             time.sleep(3.2)
             runs = len(site.workers[0].runs)
             status, headers, _ = site.request("/letters/x")
@@ -235,9 +235,7 @@
             self.assertEqual(site.request("/calls/1")[0], 200)
             caller.join()
             self.assertEqual((responses[0][0], responses[0][2]), (200, COMPLETE_STREAM))
-            wait_until(lambda: site.processes[site.entries[0]].poll() is not None,
-                       "the entry to exit")
-            self.assertEqual(site.processes[site.entries[0]].returncode, 0)
+            self.assert_clean_exit(site)
 
     def test_restarted_site_serves_with_its_newest_configuration(self):
         with Site(17) as site:
--- a/core/testing/replica_growth_test.cpp
+++ b/core/testing/replica_growth_test.cpp
@@ -175,9 +175,10 @@
     BOOST_TEST(group.canCommit());
 }
 
-// Machines are replaced, wiped and restarted in random order, leaders among them. A new VM knows
-// three that run when it starts, and all of these may be gone later. After a calm period all voters
-// run, so that the loss of any two disks loses nothing that was acknowledged.
+// Guards against a group that a voter's loss weakens for good: VMs are replaced, wiped and
+// restarted in random order, leaders among them. A new VM knows three that run when it starts, and
+// all of these may be gone later. After a calm period all voters run, so that the loss of any two
+// disks loses nothing that was acknowledged.
 BOOST_AUTO_TEST_CASE(group_heals_by_itself_whatever_is_replaced)
 {
     constexpr std::uint64_t kSchedules = 1000;
