Log what an entry's exit finds

Requests that end with the process write no line, and 'stopping' and 'stop' have no counts, so the hypotheses of the incident can't be told apart. exit_decided: connections, requests in progress, unread requests, connections closed idle and those of them that never carried a request, requests since the signal. exit: requests that were accepted after the decision. No decision changes.

--- a/app/site_process.h
+++ b/app/site_process.h
@@ -72,6 +72,7 @@
     EntryProcess(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log)
         : io_(io)
         , settings_(settings)
+        , log_(log)
         , workGuard_(boost::asio::make_work_guard(trafficIo_))
         , plane_(trafficIo_, settings, log)
         , entry_(io, settings, log, decodeConfig, outputs())
@@ -135,6 +136,7 @@
             plane_.refuseRequestsFrom = stoppedAt + settings_.acceptPeriod;
             plane_.lastAnswerAt = stoppedAt + settings_.gracePeriod - kExitMargin - kStopPollPeriod
                                   - kLastAnswerMargin;
+            requestsAtStop_ = callerSessions_->counts.requests;
         });
         stopTimer_.expires_after(settings_.drainPeriod);
         stopTimer_.async_wait([this](const boost::system::error_code &) { stopWhenIdle(); });
@@ -286,15 +288,42 @@
             net::drainSessions(*callerSessions_);
             const bool isRelaying = plane_.tunnels && plane_.tunnels->active != 0;
             const bool isIdle = net::countBusySessions(*callerSessions_) == 0 && !isRelaying;
-            if (isIdle || isGracePeriodOver)
-                boost::asio::post(io_, [this] { io_.stop(); });
+            if (isIdle || isGracePeriodOver) {
+                logExit(isIdle ? "idle" : "grace_over");
+                boost::asio::post(io_, [this, decided = callerSessions_->counts.requests.load()] {
+                    const std::uint64_t requests = callerSessions_->counts.requests;
+                    LogLine(log_, LogKind::Process)
+                            .add("event", "exit")
+                            .add("requests_after_decision",
+                                 static_cast<std::int64_t>(requests - decided));
+                    io_.stop();
+                });
+            }
         });
         stopTimer_.expires_after(kStopPollPeriod);
         stopTimer_.async_wait([this](const boost::system::error_code &) { stopWhenIdle(); });
     }
 
+    // Writes what the exit finds, since requests that end with the process write no line.
+    void logExit(std::string_view cause)
+    {
+        const net::SessionCounts &counts = callerSessions_->counts;
+        const auto number = [](std::uint64_t value) { return static_cast<std::int64_t>(value); };
+        LogLine(log_, LogKind::Process)
+                .add("event", "exit_decided")
+                .add("cause", cause)
+                .add("since_stop_ms", core::toMillis(clock_.now() - stopRequestedAt_))
+                .add("connections", number(callerSessions_->sessions.size()))
+                .add("busy", number(net::countBusySessions(*callerSessions_)))
+                .add("unread", number(net::countUnreadSessions(*callerSessions_)))
+                .add("requests_since_stop", number(counts.requests - requestsAtStop_))
+                .add("closed_idle", number(counts.closedIdle))
+                .add("closed_unused", number(counts.closedUnused));
+    }
+
     boost::asio::io_context &io_; // control thread
     const SiteSettings settings_;
+    StructuredLog &log_;
     BootClock clock_;
     boost::asio::io_context trafficIo_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard_;
@@ -310,6 +339,7 @@
     bool hasPath_ = true; // to the endpoints, direct or through a relay
     bool stopping_ = false;
     core::Instant stopRequestedAt_;
+    std::uint64_t requestsAtStop_ = 0; // traffic thread only
     std::thread trafficThread_;
 };
 
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -4,6 +4,7 @@
 
 #include "net/tcp_acceptor.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -175,6 +176,8 @@
     keepAlive_ = message.keep_alive();
     omitBody_ = request.method == "HEAD";
     requestActive_ = true;
+    wasUsed_ = true;
+    ++group_->counts.requests;
     parser_ = std::make_unique<Parser>();
     if (input_.empty())
         input_.shrink_to_fit();
@@ -321,14 +324,21 @@
                       });
 }
 
+bool ServerSession::hasUnreadRequest() const
+{
+    error_code ignored;
+    return open_ && !requestActive_
+           && (!input_.empty() || parser_->requestStarted || socket_.available(ignored) != 0);
+}
+
 void ServerSession::closeIfIdle()
 {
     // A request that has arrived but isn't read yet is answered, not reset.
-    error_code ignored;
-    const bool isIdle = !requestActive_ && output_.empty() && input_.empty()
-                        && !parser_->requestStarted && socket_.available(ignored) == 0;
-    if (isIdle)
-        close();
+    if (!open_ || requestActive_ || !output_.empty() || hasUnreadRequest())
+        return;
+    ++group_->counts.closedIdle;
+    group_->counts.closedUnused += wasUsed_ ? 0 : 1;
+    close();
 }
 
 void ServerSession::close()
@@ -416,4 +426,11 @@
     return busy;
 }
 
+std::size_t countUnreadSessions(const SessionGroup &group)
+{
+    return static_cast<std::size_t>(std::count_if(
+            group.sessions.begin(), group.sessions.end(),
+            [](const ServerSession *session) { return session->hasUnreadRequest(); }));
+}
+
 } // namespace fireflyroute::net
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -17,6 +17,7 @@
 #include "net/http_message.h"
 #include "net/socket_steps.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,6 +48,14 @@
 using SessionHandler =
         std::function<void(const std::shared_ptr<ServerSession> &, HttpRequestMessage)>;
 
+// Totals of the sessions of one listener.
+struct SessionCounts
+{
+    std::atomic<std::uint64_t> requests = 0; // passed to the handler; any thread may read it
+    std::uint64_t closedIdle = 0; // connections closed by drainSessions()
+    std::uint64_t closedUnused = 0; // those of closedIdle that never carried a request
+};
+
 // State that the sessions of one listener share.
 struct SessionGroup
 {
@@ -54,6 +63,7 @@
     SessionHandler handler;
     std::set<ServerSession *> sessions; // all sessions that are not destroyed yet
     std::size_t unsentBytes = 0; // of all sessions
+    SessionCounts counts;
     bool draining = false; // each response announces the end of its connection
 };
 
@@ -94,6 +104,9 @@
 
     [[nodiscard]] bool isBusy() const { return requestActive_; }
 
+    // Whether bytes of a request have arrived that is not passed to the handler yet.
+    [[nodiscard]] bool hasUnreadRequest() const;
+
     // Bytes of the current response that the kernel has not accepted yet.
     [[nodiscard]] std::size_t unsentBytes() const { return unsentBytes_; }
     [[nodiscard]] std::size_t unsentBytesOfGroup() const { return group_->unsentBytes; }
@@ -129,6 +142,7 @@
     std::function<void()> disconnectHandler_;
     std::function<void()> drainedHandler_;
     bool requestActive_ = false; // the handler has a request without a complete response
+    bool wasUsed_ = false; // a request has been passed to the handler
     bool streaming_ = false; // the streamed response has begun
     bool omitBody_ = false; // the method of the request is HEAD
     bool keepAlive_ = true; // the caller requested a persistent connection
@@ -151,6 +165,9 @@
 // Returns the number of sessions with a request in progress or a response that is not fully sent.
 [[nodiscard]] std::size_t countBusySessions(const SessionGroup &group);
 
+// Returns the number of sessions with a request that is not passed to the handler yet.
+[[nodiscard]] std::size_t countUnreadSessions(const SessionGroup &group);
+
 } // namespace fireflyroute::net
 
 #endif
