--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -64,7 +64,7 @@
         return error.code, dict(error.headers), error.read().decode()
 
 
-def wait_until(condition, description, seconds=20):
+def wait_until(condition, description, seconds=20, pause_s=0.05):
     """Polls until the condition holds. The time-out only prevents an endless wait."""
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
@@ -73,7 +73,7 @@
                 return
         except (OSError, urllib.error.URLError):
             pass
-        time.sleep(0.05)
+        time.sleep(pause_s)
     raise AssertionError("timed out waiting for: " + description)
 
 
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -480,7 +480,8 @@
         wait_until(try_control_vms, "a response to %s %s" % (method, path))
         return result[-1]
 
-    def configure(self, version, keys=("k1",), prefix="/calls/", draft_fields=None):
+    def configure(self, version, keys=("k1",), prefix="/calls/", draft_fields=None,
+                  refund_fields=None):
         def route(name, path, kind, service, **more):
             return dict({"name": name, "host": "desk.example", "pathPrefix": path, "kind": kind,
                          "timeoutMs": 6000, "targetLatencyMs": 2000, "service": service,
@@ -490,7 +491,8 @@
             "version": version,
             "routes": [
                 route("lookup", prefix, "safe", "ledger"),
-                route("refund", "/refunds/", "unsafe", "ledger", maxAttempts=1),
+                route("refund", "/refunds/", "unsafe", "ledger",
+                      **dict({"maxAttempts": 1}, **(refund_fields or {}))),
                 route("draft", "/drafts/", "streaming", "llm", resumable=True, sticky=True,
                       sizes=["small", "large"], **(draft_fields or {})),
                 route("letter", "/letters/", "streaming", "ledger", resumable=True),
