Wait until callers have closed after the last response

A session that announced the end of its connection closed it right after the last byte. If bytes of the caller lay unread (a request that was pipelined, the rest of a body that was refused), the kernel turned the close into a reset, which discards what it has not delivered and may overtake the response. Now the sending side ends, input is discarded, and the connection is closed when the caller has closed its side, or after 1 s.

last_response_is_not_followed_by_a_reset fails before: both writes after the end of the response get a reset.

--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -25,8 +25,8 @@
 
 constexpr std::size_t kReadBufferBytes = 16U << 10U;
 
-// Time that the caller has to read an error response before the connection is closed.
-constexpr std::chrono::milliseconds kErrorResponseTimeout{1000};
+// Time that the caller has to read the last response and to close its side.
+constexpr std::chrono::milliseconds kCloseTimeout{1000};
 
 constexpr unsigned kStatusBadRequest = 400;
 constexpr unsigned kStatusRequestTimeout = 408;
@@ -99,6 +99,10 @@
 
 void ServerSession::onReadable()
 {
+    if (awaitsClose_) {
+        discardInput();
+        return;
+    }
     if (requestActive_) {
         checkForDisconnect();
         return;
@@ -318,23 +322,46 @@
                           if (!self->output_.empty())
                               self->writeNext();
                           else if (self->closeAfterWrite_ && !self->requestActive_)
-                              self->close();
+                              self->awaitClose();
                           if (self->drainedHandler_ && !self->isCongested())
                               std::exchange(self->drainedHandler_, nullptr)();
                       });
 }
 
+// The end of this side tells the caller that nothing follows. Its own end, or the time-out, closes
+// the connection.
+void ServerSession::awaitClose()
+{
+    awaitsClose_ = true;
+    input_.clear();
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    armTimer(kCloseTimeout);
+    awaitReadable();
+}
+
+void ServerSession::discardInput()
+{
+    std::array<char, kReadBufferBytes> buffer;
+    error_code error;
+    (void)socket_.read_some(asio::buffer(buffer), error);
+    if (error && error != asio::error::would_block)
+        close();
+    else
+        awaitReadable();
+}
+
 bool ServerSession::hasUnreadRequest() const
 {
     error_code ignored;
-    return open_ && !requestActive_
+    return open_ && !requestActive_ && !closeAfterWrite_
            && (!input_.empty() || parser_->requestStarted || socket_.available(ignored) != 0);
 }
 
 void ServerSession::closeIfIdle()
 {
     // A request that has arrived but isn't read yet is answered, not reset.
-    if (!open_ || requestActive_ || !output_.empty() || hasUnreadRequest())
+    if (!open_ || requestActive_ || closeAfterWrite_ || !output_.empty() || hasUnreadRequest())
         return;
     ++group_->counts.closedIdle;
     group_->counts.closedUnused += wasUsed_ ? 0 : 1;
@@ -375,7 +402,7 @@
     }
     if (parser_->requestStarted) {
         reject(kStatusRequestTimeout);
-        armTimer(kErrorResponseTimeout);
+        armTimer(kCloseTimeout);
         return;
     }
     // The limit may have been raised since the timer was set.
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -9,6 +9,10 @@
 //
 // A session handles one request at a time: bytes of the next request wait until the response has
 // been sent. While a response is in progress, the session detects the disconnection of the caller.
+//
+// After a response that announces the end of its connection, the session waits until the caller has
+// closed its side: a close with unread bytes would reset the connection, and the reset may overtake
+// the response.
 
 #ifndef FIREFLYROUTE_NET_SERVER_SESSION_H
 #define FIREFLYROUTE_NET_SERVER_SESSION_H
@@ -124,6 +128,8 @@
     void reject(unsigned status);
     void handleDisconnect();
     void finishResponse();
+    void awaitClose();
+    void discardInput();
     void send(std::string bytes);
     void writeNext();
     void close();
@@ -146,7 +152,8 @@
     bool streaming_ = false; // the streamed response has begun
     bool omitBody_ = false; // the method of the request is HEAD
     bool keepAlive_ = true; // the caller requested a persistent connection
-    bool closeAfterWrite_ = false;
+    bool closeAfterWrite_ = false; // the response announces the end of the connection
+    bool awaitsClose_ = false; // the last response is sent; the caller has to close its side
     bool writing_ = false;
     bool open_ = true;
 };
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -485,6 +485,38 @@
     BOOST_TEST(statusOfResponse(caller) == 200U);
 }
 
+// Guards against answers that are lost because the connection is closed with unread bytes, which
+// resets it.
+BOOST_FIXTURE_TEST_CASE(last_response_is_not_followed_by_a_reset, HttpSessionFixture)
+{
+    const std::string address = startServer(SessionLimits());
+    for (const std::string_view head : {"GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
+                                        "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"}) {
+        tcp::socket caller(io);
+        caller.connect(parseAddress(address).value());
+        // More than the session reads at once.
+        boost::asio::write(caller,
+                           boost::asio::buffer(std::string(head) + std::string(50000, 'x')));
+        io.restart();
+        io.run_for(50ms);
+        std::string received;
+        boost::system::error_code error;
+        caller.non_blocking(true);
+        runUntil([&] {
+            std::array<char, 1000> buffer;
+            received.append(buffer.data(), caller.read_some(boost::asio::buffer(buffer), error));
+            return error && error != boost::asio::error::would_block;
+        });
+        BOOST_TEST(error == boost::asio::error::eof);
+        BOOST_TEST(received.starts_with("HTTP/1.1 "));
+        // A reset would have ended this side, too.
+        (void)boost::asio::write(caller, boost::asio::buffer("x", 1), error);
+        BOOST_TEST(!error);
+        caller.close();
+        runUntil([&] { return group->sessions.empty(); });
+    }
+}
+
 // Guards against a session that holds all that an endpoint sends while its caller reads nothing.
 BOOST_FIXTURE_TEST_CASE(congested_session_reports_when_its_caller_catches_up, HttpSessionFixture)
 {
