Stop entries by one sequence that is decided where sessions are read

Callers saw: requests without an answer in planned stops of calm entries, some of which an endpoint had run (LOST).

Cause: closes and the exit were decided from what the session's thread had read, while the kernel held more and another thread exited later. Requests in progress were counted on the traffic thread, and the control thread exited; new requests in between were passed on and cut. Idle connections were closed at 2.3 s without notice, those accepted a moment ago too, and the listener accepted until the exit reset what it held.

Change: core/stop_sequence.h decides the phases from a passed-in clock and from what the connections hold. From the signal on answers announce the end of their connections, and idle ones stay usable; after 2.3 s, once no request is in progress or none is taken any more, the listener closes after it has accepted what waits (a socket filter keeps new connections out meanwhile), connections that carried nothing for 250 ms are closed, and the process exits when none is left, or at the end of the grace period. With no listener and no session nothing can arrive before the exit, whichever thread carries it out.

No message and no stored format changes.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -138,7 +138,7 @@
 std::optional<core::Refusal> ProxyRequest<Dialect>::prepare(core::Instant now)
 {
     table_ = plane_.view->table;
-    if (!table_ || plane_.isStopping(now))
+    if (!table_ || !plane_.stop.takesRequests(now))
         return core::Refusal::NotReady;
     const std::string_view target(request_.target);
     const std::string_view host(meta_.host);
@@ -155,8 +155,8 @@
     }
     deadlineAt_ = arrivedAt_ + std::min(meta_.deadline.value_or(route_->timeout), route_->timeout);
     // The caller of a call gets an answer before this process exits, also if its endpoint is late.
-    if (plane_.lastAnswerAt && !isStream())
-        deadlineAt_ = std::min(deadlineAt_, *plane_.lastAnswerAt);
+    if (!isStream())
+        deadlineAt_ = std::min(deadlineAt_, plane_.stop.answerBy());
     chooseService();
     model_ = plane_.models.initialModel(*route_);
     return std::nullopt;
@@ -243,7 +243,7 @@
         return {};
     // An attempt after another one continues a stream that the process has to finish anyway.
     const bool isContinued = responseStarted_ || !excluded.empty();
-    if (isStream() && !isContinued && plane_.refusesNewStreams(now))
+    if (isStream() && !isContinued && !plane_.stop.startsStreams(now))
         return {};
     core::VersionGate gate(rollout == plane_.view->rollouts.end() ? nullptr : &rollout->second,
                            endpoints->second);
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -5,6 +5,7 @@
 #ifndef FIREFLYROUTE_APP_SITE_PROCESS_H
 #define FIREFLYROUTE_APP_SITE_PROCESS_H
 
+#include "app/process_stop.h"
 #include "app/proxy_request.h"
 #include "app/signals.h"
 #include "app/site_control.h"
@@ -39,15 +40,6 @@
 template<typename D>
 concept SiteDialect = TrafficDialect<D> && ControlDialect<D>;
 
-// Time between the exit of a stopping process and the moment at which it would be killed.
-constexpr std::chrono::milliseconds kExitMargin{450};
-
-// How often a stopping entry checks whether its last requests are finished.
-constexpr std::chrono::milliseconds kStopPollPeriod{100};
-
-// Time for the last answers to be written before a stopping entry exits.
-constexpr std::chrono::milliseconds kLastAnswerMargin{150};
-
 // Interval of outcome reports while a roll-out is in progress.
 constexpr std::chrono::milliseconds kOutcomeReportPeriod{300};
 
@@ -72,7 +64,6 @@
     EntryProcess(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log)
         : io_(io)
         , settings_(settings)
-        , log_(log)
         , workGuard_(boost::asio::make_work_guard(trafficIo_))
         , plane_(trafficIo_, settings, log)
         , entry_(io, settings, log, decodeConfig, outputs())
@@ -80,7 +71,7 @@
         , expiryTimer_(trafficIo_)
         , workTimer_(trafficIo_)
         , pathTimer_(trafficIo_)
-        , stopTimer_(io)
+        , stop_(trafficIo_, plane_.stop, log)
     {}
 
     Result<void> start()
@@ -107,7 +98,7 @@
             return fromNet(readiness.error());
         BOOST_OUTCOME_TRYV(serveMetrics(io_, settings_.metricsAddress, [this](const auto &done) {
             boost::asio::post(trafficIo_, [this, done] {
-                boost::asio::post(io_, [this, done, text = plane_.metrics()] {
+                boost::asio::post(io_, [this, done, text = plane_.metrics() + stop_.metrics()] {
                     done(entry_.metrics() + text);
                 });
             });
@@ -126,20 +117,18 @@
 
     void reload(const SiteSettings &settings) { entry_.reload(settings); }
 
-    // Shuts down gracefully: first leaves the load balancer's rotation, then closes idle
-    // connections, and exits once the last request is finished or the grace period is over.
+    // Shuts down gracefully: first leaves the load balancer's rotation, then answers what it has
+    // accepted, and exits once no connection of a caller is left or the grace period is over.
     void stop()
     {
         stopping_ = true;
-        stopRequestedAt_ = clock_.now();
-        boost::asio::post(trafficIo_, [this, stoppedAt = stopRequestedAt_] {
-            plane_.refuseRequestsFrom = stoppedAt + settings_.acceptPeriod;
-            plane_.lastAnswerAt = stoppedAt + settings_.gracePeriod - kExitMargin - kStopPollPeriod
-                                  - kLastAnswerMargin;
-            requestsAtStop_ = callerSessions_->counts.requests;
+        boost::asio::post(trafficIo_, [this] {
+            const auto countTunnels = [this] {
+                return plane_.tunnels ? plane_.tunnels->active : 0;
+            };
+            stop_.begin(callerSessions_, countTunnels,
+                        [this] { boost::asio::post(io_, [this] { io_.stop(); }); });
         });
-        stopTimer_.expires_after(settings_.drainPeriod);
-        stopTimer_.async_wait([this](const boost::system::error_code &) { stopWhenIdle(); });
     }
 
 private:
@@ -279,51 +268,8 @@
         });
     }
 
-    void stopWhenIdle()
-    {
-        const bool isGracePeriodOver =
-                clock_.now() - stopRequestedAt_ + kExitMargin + kStopPollPeriod
-                >= settings_.gracePeriod;
-        boost::asio::post(trafficIo_, [this, isGracePeriodOver] {
-            net::drainSessions(*callerSessions_);
-            const bool isRelaying = plane_.tunnels && plane_.tunnels->active != 0;
-            const bool isIdle = net::countBusySessions(*callerSessions_) == 0 && !isRelaying;
-            if (isIdle || isGracePeriodOver) {
-                logExit(isIdle ? "idle" : "grace_over");
-                boost::asio::post(io_, [this, decided = callerSessions_->counts.requests.load()] {
-                    const std::uint64_t requests = callerSessions_->counts.requests;
-                    LogLine(log_, LogKind::Process)
-                            .add("event", "exit")
-                            .add("requests_after_decision",
-                                 static_cast<std::int64_t>(requests - decided));
-                    io_.stop();
-                });
-            }
-        });
-        stopTimer_.expires_after(kStopPollPeriod);
-        stopTimer_.async_wait([this](const boost::system::error_code &) { stopWhenIdle(); });
-    }
-
-    // Writes what the exit finds, since requests that end with the process write no line.
-    void logExit(std::string_view cause)
-    {
-        const net::SessionCounts &counts = callerSessions_->counts;
-        const auto number = [](std::uint64_t value) { return static_cast<std::int64_t>(value); };
-        LogLine(log_, LogKind::Process)
-                .add("event", "exit_decided")
-                .add("cause", cause)
-                .add("since_stop_ms", core::toMillis(clock_.now() - stopRequestedAt_))
-                .add("connections", number(callerSessions_->sessions.size()))
-                .add("busy", number(net::countBusySessions(*callerSessions_)))
-                .add("unread", number(net::countUnreadSessions(*callerSessions_)))
-                .add("requests_since_stop", number(counts.requests - requestsAtStop_))
-                .add("closed_idle", number(counts.closedIdle))
-                .add("closed_unused", number(counts.closedUnused));
-    }
-
     boost::asio::io_context &io_; // control thread
     const SiteSettings settings_;
-    StructuredLog &log_;
     BootClock clock_;
     boost::asio::io_context trafficIo_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard_;
@@ -335,11 +281,9 @@
     boost::asio::steady_timer expiryTimer_; // traffic thread
     boost::asio::steady_timer workTimer_; // traffic thread
     boost::asio::steady_timer pathTimer_; // traffic thread
-    boost::asio::steady_timer stopTimer_;
+    ProcessStop stop_; // traffic thread only
     bool hasPath_ = true; // to the endpoints, direct or through a relay
     bool stopping_ = false;
-    core::Instant stopRequestedAt_;
-    std::uint64_t requestsAtStop_ = 0; // traffic thread only
     std::thread trafficThread_;
 };
 
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -51,9 +51,18 @@
 // still arrive after that, and more of them if too few other VMs are available. They are accepted
 // until kAcceptPeriod: calls take up to 3 s, and the process exits 0.5 s before it would be killed,
 // 8 s after the stop signal.
-constexpr std::chrono::milliseconds kDrainPeriod{2300};
+constexpr std::chrono::milliseconds kAnnouncePeriod{2300};
 constexpr std::chrono::milliseconds kAcceptPeriod{4500};
 
+// Streams that started in the first three seconds after the stop signal may be interrupted by the
+// exit; later ones must not be.
+constexpr std::chrono::milliseconds kStreamPeriod{2800};
+
+// Time between the exit of a stopping process and the moment at which it would be killed, and
+// before that for the last answers to be written.
+constexpr std::chrono::milliseconds kExitMargin{550};
+constexpr std::chrono::milliseconds kLastAnswerMargin{150};
+
 // Used fractions of the allowed budgets. Less than 1 because entries spend them without
 // coordination.
 constexpr double kRetryFraction = 0.85;
@@ -88,6 +97,17 @@
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(value));
 }
 
+core::StopLimits stopLimits(core::Duration gracePeriod)
+{
+    core::StopLimits limits;
+    limits.exitPeriod = gracePeriod - kExitMargin;
+    limits.announcePeriod = kAnnouncePeriod;
+    limits.streamPeriod = kStreamPeriod;
+    limits.acceptPeriod = kAcceptPeriod;
+    limits.answerPeriod = limits.exitPeriod - kLastAnswerMargin;
+    return limits;
+}
+
 bool readFlagFile()
 {
     return FLAGS_config.empty()
@@ -100,9 +120,7 @@
     settings.toleratedLosses = FLAGS_site_tolerated_losses;
     settings.keyLease = std::chrono::milliseconds(
             static_cast<std::int64_t>(FLAGS_site_revoke_ms * kKeyLeaseFraction));
-    settings.drainPeriod = kDrainPeriod;
-    settings.acceptPeriod = kAcceptPeriod;
-    settings.gracePeriod = seconds(FLAGS_site_grace_s);
+    settings.stopLimits = stopLimits(seconds(FLAGS_site_grace_s));
     settings.heartbeatInterval = std::chrono::milliseconds(FLAGS_site_heartbeat_ms);
     settings.sessionTtl = seconds(FLAGS_site_session_s);
     settings.budgetWindow = seconds(FLAGS_site_retry_window_s);
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -8,6 +8,7 @@
 #include "app/settings.h"
 #include "core/clock.h"
 #include "core/regions.h"
+#include "core/stop_sequence.h"
 #include "core/types.h"
 
 #include <cstdint>
@@ -36,9 +37,7 @@
     std::filesystem::path dataFolder; // control VMs only
     std::size_t toleratedLosses = 2;
     core::Duration keyLease{}; // how long keys are accepted without confirmation
-    core::Duration drainPeriod{}; // from not ready to closing idle connections
-    core::Duration acceptPeriod{}; // from not ready to refusing new requests
-    core::Duration gracePeriod{}; // from the stop signal to the kill
+    core::StopLimits stopLimits; // of an entry
     core::Duration heartbeatInterval{}; // of endpoints
     core::Duration sessionTtl{}; // longest time between two requests of a session
     core::Duration budgetWindow{}; // of the retry budget
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -23,11 +23,6 @@
 // Maximum number of requests that wait for the start-up. Further ones are refused.
 constexpr std::size_t kMaxWaitingRequests = 400;
 
-// Time between the refusal of new streams and the refusal of all requests in a stopping process.
-// Streams that started in the first three seconds after the stop signal may be interrupted by the
-// exit; later ones must not be, so no stream is started from 2.8 s (acceptPeriod minus this) on.
-constexpr std::chrono::milliseconds kStreamStopMargin{1700};
-
 // Share of the retry budget that escalations to larger models may use. The rest is reserved for
 // failures.
 constexpr double kEscalationShare = 0.8;
@@ -60,6 +55,7 @@
     , settings(siteSettings)
     , log(structuredLog)
     , view(std::make_shared<const core::SiteView>())
+    , stop(siteSettings.stopLimits)
     , picker(siteSettings.dataCentre, siteSettings.regions)
     , pins(siteSettings.sessionTtl, siteSettings.canaryShare)
     , pool(ioContext)
@@ -67,11 +63,6 @@
     , startedAt_(clock.now())
 {}
 
-bool TrafficPlane::refusesNewStreams(core::Instant now) const
-{
-    return refuseRequestsFrom && now >= *refuseRequestsFrom - kStreamStopMargin;
-}
-
 bool TrafficPlane::isStarting(core::Instant now) const
 {
     return now - startedAt_ < kStartupPeriod && waitingRequests_.size() < kMaxWaitingRequests;
@@ -288,7 +279,7 @@
 
 net::TunnelStatus TrafficPlane::admitTunnel(const std::string &address) const
 {
-    if (refuseRequestsFrom)
+    if (stop.isStopping())
         return net::TunnelStatus::Full;
     if (path.state() != core::PathState::Sound)
         return net::TunnelStatus::Isolated;
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -67,15 +67,6 @@
     // Whether the view is confirmed as fresh. If not, only requests on public routes are served.
     [[nodiscard]] bool isFresh(core::Instant now) const { return now < freshUntil; }
 
-    // Whether the process is stopping and must refuse new requests, because they could outlast it.
-    [[nodiscard]] bool isStopping(core::Instant now) const
-    {
-        return refuseRequestsFrom && now >= *refuseRequestsFrom;
-    }
-
-    // Whether the process is about to stop and must start no stream, because it could outlast it.
-    [[nodiscard]] bool refusesNewStreams(core::Instant now) const;
-
     // Whether the process started so recently that state and endpoints may still be missing.
     // Requests that can't be served for this reason wait. False if too many of them wait already.
     [[nodiscard]] bool isStarting(core::Instant now) const;
@@ -153,8 +144,7 @@
     BootClock clock;
     std::shared_ptr<const core::SiteView> view; // never null
     core::Instant freshUntil; // the view is confirmed as fresh until then
-    std::optional<core::Instant> refuseRequestsFrom; // set when the process stops
-    std::optional<core::Instant> lastAnswerAt; // shortly before its exit; set when it stops
+    core::StopSequence stop; // of this process
     core::EndpointMonitor monitor;
     core::EndpointPicker picker;
     core::ModelChooser models;
--- a/net/frame_link.cpp
+++ b/net/frame_link.cpp
@@ -236,12 +236,13 @@
                          const FrameHandlers &handlers,
                          std::function<void(const std::shared_ptr<FrameLink> &)> onAccepted)
 {
-    return acceptConnections(
+    BOOST_OUTCOME_TRYV(acceptConnections(
             io, address, [&io, handlers, onAccepted = std::move(onAccepted)](tcp::socket socket) {
                 const auto link = std::make_shared<FrameLink>(io, handlers);
                 onAccepted(link);
                 link->adopt(std::move(socket));
-            });
+            }));
+    return core::outcome::success();
 }
 
 } // namespace fireflyroute::net
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -2,9 +2,6 @@
 
 #include "net/server_session.h"
 
-#include "net/tcp_acceptor.h"
-
-#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -13,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 #include <utility>
+#include <vector>
 
 namespace fireflyroute::net {
 
@@ -42,6 +40,18 @@
     return kStatusBadRequest;
 }
 
+// Calls `step` with each session. A step may end a session and thereby remove it from the group.
+template<typename Step>
+void forEachSession(const SessionGroup &group, const Step &step)
+{
+    std::vector<std::shared_ptr<ServerSession>> sessions;
+    sessions.reserve(group.sessions.size());
+    for (ServerSession *session : group.sessions)
+        sessions.push_back(session->shared_from_this());
+    for (const std::shared_ptr<ServerSession> &session : sessions)
+        step(*session);
+}
+
 } // namespace
 
 struct ServerSession::Parser
@@ -210,7 +220,7 @@
     if (!requestActive_ || streaming_)
         return;
     HttpResponseHead head{response.status, response.fields};
-    const bool closesConnection = !keepAlive_ || group_->draining;
+    const bool closesConnection = !keepAlive_ || group_->announcesEnd;
     closeAfterWrite_ = closesConnection;
     if (closesConnection)
         head.fields.push_back({"Connection", "close"});
@@ -229,7 +239,7 @@
         return;
     streaming_ = true;
     HttpResponseHead framedHead = head;
-    const bool closesConnection = !keepAlive_ || group_->draining;
+    const bool closesConnection = !keepAlive_ || group_->announcesEnd;
     closeAfterWrite_ = closesConnection;
     if (closesConnection)
         framedHead.fields.push_back({"Connection", "close"});
@@ -351,6 +361,7 @@
         awaitReadable();
 }
 
+// A request may also lie in the kernel.
 bool ServerSession::hasUnreadRequest() const
 {
     error_code ignored;
@@ -358,16 +369,24 @@
            && (!input_.empty() || parser_->requestStarted || socket_.available(ignored) != 0);
 }
 
-void ServerSession::closeIfIdle()
+void ServerSession::closeIfIdle(std::chrono::milliseconds quietPeriod)
 {
-    // A request that has arrived but isn't read yet is answered, not reset.
-    if (!open_ || requestActive_ || closeAfterWrite_ || !output_.empty() || hasUnreadRequest())
+    const bool isQuiet = std::chrono::steady_clock::now() - idleSince_ >= quietPeriod;
+    const bool isIdle = open_ && !requestActive_ && !closeAfterWrite_ && output_.empty();
+    if (!isIdle || !isQuiet || hasUnreadRequest())
         return;
     ++group_->counts.closedIdle;
     group_->counts.closedUnused += wasUsed_ ? 0 : 1;
     close();
 }
 
+SessionLoad ServerSession::load() const
+{
+    const bool isUnread = hasUnreadRequest();
+    const bool hasRequest = requestActive_ || unsentBytes_ != 0 || isUnread;
+    return {hasRequest ? 1U : 0U, isUnread ? 1U : 0U, open_ ? 1U : 0U};
+}
+
 void ServerSession::close()
 {
     if (!open_)
@@ -428,36 +447,40 @@
     auto group = std::make_shared<SessionGroup>();
     group->limits = limits;
     group->handler = std::move(handler);
-    BOOST_OUTCOME_TRYV(acceptConnections(io, address, [group](tcp::socket socket) {
-        std::make_shared<ServerSession>(std::move(socket), group)->start();
-    }));
+    BOOST_OUTCOME_TRY(listener, acceptConnections(io, address, [group](tcp::socket socket) {
+                          std::make_shared<ServerSession>(std::move(socket), group)->start();
+                      }));
+    group->listener = listener;
     return group;
 }
 
-void drainSessions(SessionGroup &group)
+SessionLoad loadOf(const SessionGroup &group)
 {
-    group.draining = true;
-    // Closing a session may destroy it and thereby remove it from the set.
-    const std::vector<ServerSession *> sessions(group.sessions.begin(), group.sessions.end());
-    for (ServerSession *session : sessions) {
-        const std::shared_ptr<ServerSession> sessionRef = session->shared_from_this();
-        sessionRef->closeIfIdle();
+    SessionLoad sum;
+    for (const ServerSession *session : group.sessions) {
+        const SessionLoad load = session->load();
+        sum.requests += load.requests;
+        sum.unread += load.unread;
+        sum.connections += load.connections;
     }
+    return sum;
+}
+
+void announceEnd(SessionGroup &group)
+{
+    group.announcesEnd = true;
 }
 
-std::size_t countBusySessions(const SessionGroup &group)
+void stopAccepting(SessionGroup &group)
 {
-    std::size_t busy = 0;
-    for (const ServerSession *session : group.sessions)
-        busy += session->isBusy() || session->unsentBytes() != 0 ? 1 : 0;
-    return busy;
+    if (const std::shared_ptr<TcpListener> listener = group.listener.lock())
+        listener->stop();
 }
 
-std::size_t countUnreadSessions(const SessionGroup &group)
+void closeIdleSessions(SessionGroup &group, std::chrono::milliseconds quietPeriod)
 {
-    return static_cast<std::size_t>(std::count_if(
-            group.sessions.begin(), group.sessions.end(),
-            [](const ServerSession *session) { return session->hasUnreadRequest(); }));
+    forEachSession(group,
+                   [quietPeriod](ServerSession &session) { session.closeIfIdle(quietPeriod); });
 }
 
 } // namespace fireflyroute::net
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -20,8 +20,8 @@
 #include "net/errors.h"
 #include "net/http_message.h"
 #include "net/socket_steps.h"
+#include "net/tcp_acceptor.h"
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -55,11 +55,19 @@
 // Totals of the sessions of one listener.
 struct SessionCounts
 {
-    std::atomic<std::uint64_t> requests = 0; // passed to the handler; any thread may read it
-    std::uint64_t closedIdle = 0; // connections closed by drainSessions()
+    std::uint64_t requests = 0; // passed to the handler
+    std::uint64_t closedIdle = 0; // connections closed by closeIdleSessions()
     std::uint64_t closedUnused = 0; // those of closedIdle that never carried a request
 };
 
+// What the sessions of one listener hold.
+struct SessionLoad
+{
+    std::size_t requests = 0; // of which any part has arrived and whose response is not fully sent
+    std::size_t unread = 0; // those of requests that are not passed to the handler yet
+    std::size_t connections = 0; // not closed
+};
+
 // State that the sessions of one listener share.
 struct SessionGroup
 {
@@ -68,7 +76,8 @@
     std::set<ServerSession *> sessions; // all sessions that are not destroyed yet
     std::size_t unsentBytes = 0; // of all sessions
     SessionCounts counts;
-    bool draining = false; // each response announces the end of its connection
+    std::weak_ptr<TcpListener> listener; // owns the group until it is stopped
+    bool announcesEnd = false; // each response announces the end of its connection
 };
 
 class ServerSession : public std::enable_shared_from_this<ServerSession>
@@ -103,13 +112,10 @@
     // request is complete.
     void onDisconnect(std::function<void()> disconnectHandler);
 
-    // Closes the connection immediately if no request is in progress.
-    void closeIfIdle();
-
-    [[nodiscard]] bool isBusy() const { return requestActive_; }
+    // Closes the connection if it has carried nothing for the period.
+    void closeIfIdle(std::chrono::milliseconds quietPeriod);
 
-    // Whether bytes of a request have arrived that is not passed to the handler yet.
-    [[nodiscard]] bool hasUnreadRequest() const;
+    [[nodiscard]] SessionLoad load() const;
 
     // Bytes of the current response that the kernel has not accepted yet.
     [[nodiscard]] std::size_t unsentBytes() const { return unsentBytes_; }
@@ -127,6 +133,7 @@
     void dispatch();
     void reject(unsigned status);
     void handleDisconnect();
+    [[nodiscard]] bool hasUnreadRequest() const;
     void finishResponse();
     void awaitClose();
     void discardInput();
@@ -158,22 +165,27 @@
     bool open_ = true;
 };
 
-// Listens on "IP:PORT" and starts a session for each connection, for as long as the io_context
-// runs. drainSessions() ends the sessions of the returned group.
+// Listens on "IP:PORT" and starts a session for each connection, until stopAccepting() is called on
+// the returned group or the io_context ends.
 [[nodiscard]] Result<std::shared_ptr<SessionGroup>> acceptSessions(boost::asio::io_context &io,
                                                                    const std::string &address,
                                                                    const SessionLimits &limits,
                                                                    SessionHandler handler);
 
-// Ends the connections of a group: each further response announces the end of its connection, and
-// idle connections are closed.
-void drainSessions(SessionGroup &group);
+[[nodiscard]] SessionLoad loadOf(const SessionGroup &group);
+
+// The steps of a stop, in this order. core/stop_sequence.h decides when each is due.
+
+// From now on, each response announces the end of its connection.
+void announceEnd(SessionGroup &group);
 
-// Returns the number of sessions with a request in progress or a response that is not fully sent.
-[[nodiscard]] std::size_t countBusySessions(const SessionGroup &group);
+// Accepts the connections that wait and closes the listener. A waiting connection may still be
+// added to the group in the next turns of the io_context.
+void stopAccepting(SessionGroup &group);
 
-// Returns the number of sessions with a request that is not passed to the handler yet.
-[[nodiscard]] std::size_t countUnreadSessions(const SessionGroup &group);
+// Closes the connections that have carried nothing for the period. A request that has arrived but
+// is not read yet keeps its connection open.
+void closeIdleSessions(SessionGroup &group, std::chrono::milliseconds quietPeriod);
 
 } // namespace fireflyroute::net
 
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -435,7 +435,7 @@
     runUntil([&] { return requestReceived; });
     caller.close();
     runUntil([&] { return disconnected; });
-    BOOST_TEST(countBusySessions(*group.value()) == 1U);
+    BOOST_TEST(loadOf(*group.value()).requests == 1U);
     activeSession.reset();
     BOOST_TEST(group.value()->sessions.empty());
 }
@@ -481,7 +481,8 @@
     caller.connect(parseAddress(address).value());
     BOOST_TEST(statusOfRequest(caller) == 200U);
     boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
-    drainSessions(*group);
+    announceEnd(*group);
+    closeIdleSessions(*group, 0ms);
     BOOST_TEST(statusOfResponse(caller) == 200U);
 }
 
