Answer calls that were sent before the signal before the exit

Callers saw: a call that was passed on shortly before SIGTERM, to an endpoint that takes longer than the grace period, ended with the exit and without an answer. Calls that arrive after the signal get a deadline before the exit; earlier ones kept theirs.

0.15 s before the exit each request in progress whose answer has not begun is now asked for it: 504 if an endpoint may run it, 408 if not, and 408 for requests that have arrived in part. Streams that have begun go on until the exit.

test_call_that_runs_at_the_signal_is_answered_before_the_exit: [0] before, [504] now.

--- a/app/process_stop.cpp
+++ b/app/process_stop.cpp
@@ -67,6 +67,8 @@
         net::stopAccepting(*group_);
         net::closeIdleSessions(*group_, kQuietPeriod);
     }
+    if (sequence_.mustAnswer(now))
+        net::endRequests(*group_);
     scheduleStep();
 }
 
@@ -84,7 +86,8 @@
             .add("tunnels", number(load.tunnels))
             .add("requests", number(counts.requests - countsAtBegin_.requests))
             .add("closed_idle", number(counts.closedIdle - countsAtBegin_.closedIdle))
-            .add("closed_unused", number(counts.closedUnused - countsAtBegin_.closedUnused));
+            .add("closed_unused", number(counts.closedUnused - countsAtBegin_.closedUnused))
+            .add("ended_late", number(counts.timedOut - countsAtBegin_.timedOut));
 }
 
 std::string ProcessStop::metrics() const
@@ -93,9 +96,11 @@
         return {};
     const net::SessionCounts &counts = group_->counts;
     return fmt::format("fireflyroute_stop_requests_total {}\n"
-                       "fireflyroute_stop_connections_closed_idle_total {}\n",
+                       "fireflyroute_stop_connections_closed_idle_total {}\n"
+                       "fireflyroute_stop_requests_ended_late_total {}\n",
                        counts.requests - countsAtBegin_.requests,
-                       counts.closedIdle - countsAtBegin_.closedIdle);
+                       counts.closedIdle - countsAtBegin_.closedIdle,
+                       counts.timedOut - countsAtBegin_.timedOut);
 }
 
 } // namespace fireflyroute::app
--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -104,6 +104,7 @@
     void onTimer();
     [[nodiscard]] bool hasAlternative(core::Instant now) const;
     void onCallerDisconnected();
+    void onLastCall();
     void onPathLost();
 
     [[nodiscard]] bool isValidAnswer(const Attempt &attempt) const;
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -94,6 +94,7 @@
 {
     ++plane_.counts.requests;
     session_->onDisconnect([self = this->shared_from_this()] { self->onCallerDisconnected(); });
+    session_->onLastCall([self = this->shared_from_this()] { self->onLastCall(); });
     route();
 }
 
@@ -1001,6 +1002,20 @@
     finish("caller left", 0);
 }
 
+// The process exits soon, before the deadline of the request. A stream that has begun may still be
+// completed until then.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::onLastCall()
+{
+    if (finished_ || responseStarted_)
+        return;
+    if (attempt_)
+        attemptTracker_.recordOutcome(core::AttemptOutcome::Failed);
+    endAttempt();
+    deadlineAt_ = plane_.clock.now();
+    failRequest("process stops");
+}
+
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::finish(std::string_view outcome, unsigned status)
 {
@@ -1036,6 +1051,7 @@
     endAttempt();
     timer_.cancel();
     session_->onDisconnect(nullptr);
+    session_->onLastCall(nullptr);
     session_->onDrained(nullptr);
     session_.reset();
 }
--- a/core/stop_sequence.cpp
+++ b/core/stop_sequence.cpp
@@ -40,6 +40,11 @@
     return !isStopping() || elapsed(now) < limits_.streamPeriod;
 }
 
+bool StopSequence::mustAnswer(Instant now) const
+{
+    return isStopping() && elapsed(now) >= limits_.answerPeriod;
+}
+
 Instant StopSequence::answerBy() const
 {
     return isStopping() ? begunAt_ + limits_.answerPeriod : Instant::max();
--- a/core/stop_sequence.h
+++ b/core/stop_sequence.h
@@ -77,6 +77,9 @@
     [[nodiscard]] bool takesRequests(Instant now) const;
     [[nodiscard]] bool startsStreams(Instant now) const;
 
+    // Whether requests that are still in progress have to be answered now.
+    [[nodiscard]] bool mustAnswer(Instant now) const;
+
     // The time by which an answer can still be sent: the latest possible time while no stop was
     // requested.
     [[nodiscard]] Instant answerBy() const;
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -264,6 +264,7 @@
 void ServerSession::abort()
 {
     disconnectHandler_ = nullptr;
+    lastCallHandler_ = nullptr;
     close();
 }
 
@@ -272,6 +273,11 @@
     disconnectHandler_ = std::move(disconnectHandler);
 }
 
+void ServerSession::onLastCall(std::function<void()> lastCallHandler)
+{
+    lastCallHandler_ = std::move(lastCallHandler);
+}
+
 void ServerSession::onDrained(std::function<void()> drainedHandler)
 {
     drainedHandler_ = open_ ? std::move(drainedHandler) : nullptr;
@@ -280,6 +286,7 @@
 void ServerSession::finishResponse()
 {
     disconnectHandler_ = nullptr;
+    lastCallHandler_ = nullptr;
     streaming_ = false;
     requestActive_ = false;
     if (!open_ || closeAfterWrite_)
@@ -380,6 +387,17 @@
     close();
 }
 
+void ServerSession::endRequest()
+{
+    if (hasUnreadRequest()) {
+        ++group_->counts.timedOut;
+        reject(kStatusRequestTimeout);
+    } else if (lastCallHandler_) {
+        ++group_->counts.timedOut;
+        std::exchange(lastCallHandler_, nullptr)();
+    }
+}
+
 SessionLoad ServerSession::load() const
 {
     const bool isUnread = hasUnreadRequest();
@@ -393,6 +411,7 @@
         return;
     open_ = false;
     drainedHandler_ = nullptr;
+    lastCallHandler_ = nullptr;
     timer_.cancel();
     error_code ignored;
     if (!requestActive_)
@@ -483,4 +502,9 @@
                    [quietPeriod](ServerSession &session) { session.closeIfIdle(quietPeriod); });
 }
 
+void endRequests(SessionGroup &group)
+{
+    forEachSession(group, [](ServerSession &session) { session.endRequest(); });
+}
+
 } // namespace fireflyroute::net
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -58,6 +58,7 @@
     std::uint64_t requests = 0; // passed to the handler
     std::uint64_t closedIdle = 0; // connections closed by closeIdleSessions()
     std::uint64_t closedUnused = 0; // those of closedIdle that never carried a request
+    std::uint64_t timedOut = 0; // requests that endRequests() ended
 };
 
 // What the sessions of one listener hold.
@@ -112,9 +113,16 @@
     // request is complete.
     void onDisconnect(std::function<void()> disconnectHandler);
 
+    // Sets a handler that runs once if the current request has to be answered now, because the
+    // process is about to exit. It is dropped when the response is complete.
+    void onLastCall(std::function<void()> lastCallHandler);
+
     // Closes the connection if it has carried nothing for the period.
     void closeIfIdle(std::chrono::milliseconds quietPeriod);
 
+    // Asks the handler for the response, or rejects a request that has arrived in part.
+    void endRequest();
+
     [[nodiscard]] SessionLoad load() const;
 
     // Bytes of the current response that the kernel has not accepted yet.
@@ -153,6 +161,7 @@
     std::deque<std::string> output_; // the first element is being written
     std::size_t unsentBytes_ = 0; // sum of the sizes in output_
     std::function<void()> disconnectHandler_;
+    std::function<void()> lastCallHandler_;
     std::function<void()> drainedHandler_;
     bool requestActive_ = false; // the handler has a request without a complete response
     bool wasUsed_ = false; // a request has been passed to the handler
@@ -187,6 +196,9 @@
 // is not read yet keeps its connection open.
 void closeIdleSessions(SessionGroup &group, std::chrono::milliseconds quietPeriod);
 
+// Asks for the responses to all requests in progress, because the process is about to exit.
+void endRequests(SessionGroup &group);
+
 } // namespace fireflyroute::net
 
 #endif
