Handle signals before a process accepts anything

Callers and operators saw: a process that had just started ended by itself at a reload, with what it had accepted. The handlers of SIGTERM and SIGHUP were installed after the listeners were open and the traffic thread ran; a signal before them ended the process, as is the default. Now they are installed first, and a signal that arrives during the start is acted on after it.

--- a/app/site_process.h
+++ b/app/site_process.h
@@ -343,6 +343,10 @@
 {
     boost::asio::io_context io(1);
     const auto process = std::make_shared<Process>(io, settings, log);
+    // Handles signals before anything is accepted: by default they end the process.
+    ProcessSignals signals(
+            io, log, [process](const SiteSettings &changed) { process->reload(changed); },
+            [process] { process->stop(); });
     const Result<void> started = process->start();
     if (!started) {
         LogLine(log, LogKind::Process)
@@ -351,9 +355,6 @@
         return started.error().code == AppError::StorageFailed ? kExitStorage : kExitFailure;
     }
     LogLine(log, LogKind::Process).add("event", "start").add("role", core::nameOf(settings.role));
-    ProcessSignals signals(
-            io, log, [process](const SiteSettings &changed) { process->reload(changed); },
-            [process] { process->stop(); });
     io.run();
     LogLine(log, LogKind::Process).add("event", "stop");
     // Exits without destructors: other threads may still run, and none holds state that needs an
