Take no request after the end of its connection was announced

While a response that announces the end was still being sent, a session whose wait for input was pending read the next request and passed it on. Its caller had been told that the connection ends, so nobody waits for that answer; an endpoint runs it all the same.

--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -113,6 +113,9 @@
         discardInput();
         return;
     }
+    // The caller was told that no further request is taken. awaitClose() reads on.
+    if (closeAfterWrite_ && !requestActive_)
+        return;
     if (requestActive_) {
         checkForDisconnect();
         return;
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -626,3 +626,32 @@
     std::this_thread::sleep_for(300ms);
     BOOST_TEST(statusOfResponse(caller) == 200U);
 }
+
+// Guards against a request that is passed to the handler after the response before it has announced
+// the end of the connection: its caller doesn't wait for the response, so what it ran is lost.
+BOOST_FIXTURE_TEST_CASE(no_request_is_taken_after_the_end_was_announced, HttpSessionFixture)
+{
+    tcp::acceptor portReservation(io, tcp::endpoint(tcp::v4(), 0));
+    const std::string address =
+            "127.0.0.1:" + std::to_string(portReservation.local_endpoint().port());
+    portReservation.close();
+    unsigned taken = 0;
+    auto accepted = acceptSessions(
+            io, address, SessionLimits(),
+            [&taken](const std::shared_ptr<ServerSession> &session, const HttpRequestMessage &) {
+                ++taken;
+                // More than the kernel holds, so that the response is still being sent.
+                session->respond({200, {}, std::string(32U << 20U, 'x')});
+            });
+    BOOST_REQUIRE(accepted);
+    announceEnd(*accepted.value());
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    runUntil([&] { return taken == 1; });
+    boost::asio::write(caller, boost::asio::buffer(request));
+    io.restart();
+    io.run_for(200ms);
+    BOOST_TEST(taken == 1U);
+}
