Stop control VMs by the sequence of entries

Operators and endpoints saw: calls to a control VM that was stopped ended without an answer, changes of the configuration among them.

Cause: the process exited 0.9 s after SIGTERM, whatever calls were in progress or waited to be accepted.

Change: core/stop_sequence.h decides here too: a control VM serves on for 0.9 s while its successor is elected, with answers that announce the end of their connections; from then on, once no call is in progress or at 1.5 s, the listener and idle connections close; the process exits 0.1 s after the last connection has ended, so that messages to other processes get out. A call that is in progress after 2.5 s is answered 503, because its outcome isn't known. No message and no stored format changes.

--- a/app/site_process.h
+++ b/app/site_process.h
@@ -48,8 +48,9 @@
 // Interval of work reports. Shorter than an endpoint needs to process a long prompt.
 constexpr std::chrono::milliseconds kWorkReportPeriod{150};
 
-// Time for which a stopping control VM still answers calls, while its successor is elected.
-constexpr std::chrono::milliseconds kLeadershipTransferPeriod{900};
+// Time between the last answer of a stopping control VM and its exit, for its messages to the other
+// processes, which carry what it has acknowledged.
+constexpr std::chrono::milliseconds kLastMessagePeriod{100};
 
 // Serves /metrics. `render` passes the text to its callback.
 [[nodiscard]] Result<void>
@@ -296,7 +297,9 @@
         : io_(io)
         , settings_(settings)
         , log_(log)
-        , stopTimer_(io)
+        , stopSequence_(settings.stopLimits)
+        , stop_(io, stopSequence_, log)
+        , exitTimer_(io)
     {}
 
     Result<void> start()
@@ -308,25 +311,37 @@
                 io_, settings_.controlAddress, net::SessionLimits{},
                 [this](const std::shared_ptr<net::ServerSession> &session,
                        const net::HttpRequestMessage &request) {
-                    control_->call(Dialect::decodeControlCall(request),
-                                   [session, request](const core::ControlAnswer &answer) {
-                                       session->respond(
-                                               Dialect::encodeControlAnswer(request, answer));
-                                   });
+                    const auto answer = [session, request](const core::ControlAnswer &result) {
+                        session->respond(Dialect::encodeControlAnswer(request, result));
+                    };
+                    // A change that is still in progress at the end may be committed or not.
+                    session->onLastCall([answer] {
+                        core::ControlAnswer unclear;
+                        unclear.problem = "this VM stops";
+                        answer(unclear);
+                    });
+                    control_->call(Dialect::decodeControlCall(request), answer);
                 });
         if (!callSessions)
             return fromNet(callSessions.error());
-        return serveMetrics(io_, settings_.metricsAddress,
-                            [this](const auto &done) { done(control_->metrics()); });
+        callSessions_ = callSessions.value();
+        return serveMetrics(io_, settings_.metricsAddress, [this](const auto &done) {
+            done(control_->metrics() + stop_.metrics());
+        });
     }
 
     void reload(const SiteSettings &settings) { control_->reload(settings); }
 
+    // Shuts down gracefully: hands the leadership over, then answers what it has accepted, and
+    // exits once no connection of an operator or endpoint is left or the grace period is over.
     void stop()
     {
         control_->transferLeadership();
-        stopTimer_.expires_after(kLeadershipTransferPeriod);
-        stopTimer_.async_wait([this](const boost::system::error_code &) { io_.stop(); });
+        const auto countTunnels = [] { return std::size_t(0); };
+        stop_.begin(callSessions_, countTunnels, [this] {
+            exitTimer_.expires_after(kLastMessagePeriod);
+            exitTimer_.async_wait([this](const boost::system::error_code &) { io_.stop(); });
+        });
     }
 
 private:
@@ -334,7 +349,10 @@
     const SiteSettings settings_;
     StructuredLog &log_;
     std::unique_ptr<SiteControl> control_; // set by start()
-    boost::asio::steady_timer stopTimer_;
+    std::shared_ptr<net::SessionGroup> callSessions_; // set by start()
+    core::StopSequence stopSequence_;
+    ProcessStop stop_;
+    boost::asio::steady_timer exitTimer_;
 };
 
 // Starts the process, runs it until it is stopped, and returns the exit status of a failed start.
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -5,6 +5,7 @@
 #include "app/flag_checks.h"
 #include "net/address.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
@@ -58,6 +59,13 @@
 // exit; later ones must not be.
 constexpr std::chrono::milliseconds kStreamPeriod{2800};
 
+// Of a control VM. It serves on while its successor is elected. A transfer of the leadership ends
+// after 0.95 s at the latest, with an outcome for each change that was proposed before; these
+// answers are awaited until kControlAnswerPeriod.
+constexpr std::chrono::milliseconds kLeadershipTransferPeriod{900};
+constexpr std::chrono::milliseconds kControlAcceptPeriod{1500};
+constexpr std::chrono::milliseconds kControlAnswerPeriod{2500};
+
 // Time between the exit of a stopping process and the moment at which it would be killed, and
 // before that for the last answers to be written.
 constexpr std::chrono::milliseconds kExitMargin{550};
@@ -97,14 +105,21 @@
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(value));
 }
 
-core::StopLimits stopLimits(core::Duration gracePeriod)
+core::StopLimits stopLimits(Role role, core::Duration gracePeriod)
 {
     core::StopLimits limits;
     limits.exitPeriod = gracePeriod - kExitMargin;
-    limits.announcePeriod = kAnnouncePeriod;
-    limits.streamPeriod = kStreamPeriod;
-    limits.acceptPeriod = kAcceptPeriod;
     limits.answerPeriod = limits.exitPeriod - kLastAnswerMargin;
+    if (role == Role::Entry) {
+        limits.announcePeriod = kAnnouncePeriod;
+        limits.streamPeriod = kStreamPeriod;
+        limits.acceptPeriod = kAcceptPeriod;
+    } else {
+        limits.announcePeriod = kLeadershipTransferPeriod;
+        limits.streamPeriod = kLeadershipTransferPeriod; // it has none
+        limits.acceptPeriod = kControlAcceptPeriod;
+        limits.answerPeriod = std::min<core::Duration>(limits.answerPeriod, kControlAnswerPeriod);
+    }
     return limits;
 }
 
@@ -120,7 +135,7 @@
     settings.toleratedLosses = FLAGS_site_tolerated_losses;
     settings.keyLease = std::chrono::milliseconds(
             static_cast<std::int64_t>(FLAGS_site_revoke_ms * kKeyLeaseFraction));
-    settings.stopLimits = stopLimits(seconds(FLAGS_site_grace_s));
+    settings.stopLimits = stopLimits(settings.role, seconds(FLAGS_site_grace_s));
     settings.heartbeatInterval = std::chrono::milliseconds(FLAGS_site_heartbeat_ms);
     settings.sessionTtl = seconds(FLAGS_site_session_s);
     settings.budgetWindow = seconds(FLAGS_site_retry_window_s);
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -37,7 +37,7 @@
     std::filesystem::path dataFolder; // control VMs only
     std::size_t toleratedLosses = 2;
     core::Duration keyLease{}; // how long keys are accepted without confirmation
-    core::StopLimits stopLimits; // of an entry
+    core::StopLimits stopLimits; // of this role
     core::Duration heartbeatInterval{}; // of endpoints
     core::Duration sessionTtl{}; // longest time between two requests of a session
     core::Duration budgetWindow{}; // of the retry budget
