Keep the order of the times of a stop when the grace period is short

With a grace period of 5 s or less, the exit came before the time from which no request is taken, with an open listener. Each time now ends by the next one's. By reading (review); short_exit_period_shortens_the_others fails without the change.

--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -48,10 +48,9 @@
 constexpr double kKeyLeaseFraction = 0.84;
 
 // Times since the stop signal. The load balancer probes every second and removes a VM after two
-// failed probes; then idle connections are closed (kDrainPeriod). Requests already on their way
-// still arrive after that, and more of them if too few other VMs are available. They are accepted
-// until kAcceptPeriod: calls take up to 3 s, and the process exits 0.5 s before it would be killed,
-// 8 s after the stop signal.
+// failed probes. Requests already on their way still arrive after that, and more of them if too few
+// other VMs are available. They are accepted until kAcceptPeriod: calls take up to 3 s, and the
+// process exits before it would be killed, 8 s after the stop signal.
 constexpr std::chrono::milliseconds kAnnouncePeriod{2300};
 constexpr std::chrono::milliseconds kAcceptPeriod{4500};
 
@@ -118,7 +117,7 @@
         limits.announcePeriod = kLeadershipTransferPeriod;
         limits.streamPeriod = kLeadershipTransferPeriod; // it has none
         limits.acceptPeriod = kControlAcceptPeriod;
-        limits.answerPeriod = std::min<core::Duration>(limits.answerPeriod, kControlAnswerPeriod);
+        limits.answerPeriod = kControlAnswerPeriod;
     }
     return limits;
 }
--- a/core/stop_sequence.cpp
+++ b/core/stop_sequence.cpp
@@ -2,8 +2,27 @@
 
 #include "core/stop_sequence.h"
 
+#include <algorithm>
+
 namespace fireflyroute::core {
 
+namespace {
+
+StopLimits ordered(StopLimits limits)
+{
+    limits.answerPeriod = std::min(limits.answerPeriod, limits.exitPeriod);
+    limits.acceptPeriod = std::min(limits.acceptPeriod, limits.answerPeriod);
+    limits.streamPeriod = std::min(limits.streamPeriod, limits.acceptPeriod);
+    limits.announcePeriod = std::min(limits.announcePeriod, limits.acceptPeriod);
+    return limits;
+}
+
+} // namespace
+
+StopSequence::StopSequence(const StopLimits &limits)
+    : limits_(ordered(limits))
+{}
+
 void StopSequence::begin(Instant now)
 {
     if (isStopping())
--- a/core/stop_sequence.h
+++ b/core/stop_sequence.h
@@ -39,7 +39,8 @@
     };
 };
 
-// Times since the stop was requested, in ascending order.
+// Times since the stop was requested. None ends after a later one: a short exit period shortens the
+// others.
 struct StopLimits
 {
     Duration announcePeriod{}; // connections are closed only after it
@@ -60,9 +61,7 @@
 class StopSequence
 {
 public:
-    explicit StopSequence(const StopLimits &limits)
-        : limits_(limits)
-    {}
+    explicit StopSequence(const StopLimits &limits);
 
     // Starts the stop. Has no effect if it has started.
     void begin(Instant now);
@@ -88,7 +87,7 @@
     [[nodiscard]] Duration elapsed(Instant now) const;
 
 private:
-    const StopLimits limits_;
+    const StopLimits limits_; // in ascending order
     StopPhase phase_ = StopPhase::Running; // never goes back
     Instant begunAt_; // valid unless phase_ is Running
 };
--- a/core/testing/stop_sequence_test.cpp
+++ b/core/testing/stop_sequence_test.cpp
@@ -205,3 +205,20 @@
     BOOST_TEST(nameOf(StopPhase::Closing) == "closing");
     BOOST_TEST(nameOf(StopPhase::Ended) == "ended");
 }
+
+// Guards against an exit with an open listener if the grace period is shorter than the usual times.
+BOOST_AUTO_TEST_CASE(short_exit_period_shortens_the_others)
+{
+    StopLimits limits = kLimits;
+    limits.exitPeriod = 1s;
+    StopSequence stop(limits);
+    stop.begin(kStart);
+    BOOST_TEST(stop.takesRequests(kStart + 1s - kTick));
+    BOOST_TEST(!stop.takesRequests(kStart + 1s));
+    BOOST_TEST((stop.answerBy() == kStart + 1s));
+    limits.answerPeriod = 900ms;
+    StopSequence shorter(limits);
+    shorter.begin(kStart);
+    BOOST_TEST(!shorter.startsStreams(kStart + 900ms));
+    BOOST_TEST((shorter.step(kStart + 900ms, kRequest) == StopPhase::Closing));
+}
