Count what a stopping process holds without a system call a connection

The sequence needs what was read and what is open; only the line of a phase counts unread requests in the kernel. The counter of requests that were told to answer at the end is called last_calls, since it counts streams that go on, too.

--- a/app/process_stop.cpp
+++ b/app/process_stop.cpp
@@ -60,7 +60,7 @@
     const core::StopLoad load{held.requests, connections, countTunnels_()};
     const core::StopPhase phase = sequence_.step(now, load);
     if (phase != before)
-        logPhase(load, held.unread);
+        logPhase(load);
     if (phase == core::StopPhase::Ended) {
         onEnded_();
         return;
@@ -75,7 +75,7 @@
 }
 
 // The counts are those since the stop was requested.
-void ProcessStop::logPhase(const core::StopLoad &load, std::size_t unread) const
+void ProcessStop::logPhase(const core::StopLoad &load) const
 {
     const net::SessionCounts &counts = group_->counts;
     LogLine(log_, LogKind::Process)
@@ -84,12 +84,12 @@
             .add("since_stop_ms", core::toMillis(sequence_.elapsed(clock_.now())))
             .add("connections", number(load.connections))
             .add("in_progress", number(load.requests))
-            .add("unread", number(unread))
+            .add("unread", number(net::countUnread(*group_)))
             .add("tunnels", number(load.tunnels))
             .add("requests", number(counts.requests - countsAtBegin_.requests))
             .add("closed_idle", number(counts.closedIdle - countsAtBegin_.closedIdle))
             .add("closed_unused", number(counts.closedUnused - countsAtBegin_.closedUnused))
-            .add("ended_late", number(counts.timedOut - countsAtBegin_.timedOut));
+            .add("last_calls", number(counts.lastCalls - countsAtBegin_.lastCalls));
 }
 
 std::string ProcessStop::metrics() const
@@ -99,10 +99,10 @@
     const net::SessionCounts &counts = group_->counts;
     return fmt::format("fireflyroute_stop_requests_total {}\n"
                        "fireflyroute_stop_connections_closed_idle_total {}\n"
-                       "fireflyroute_stop_requests_ended_late_total {}\n",
+                       "fireflyroute_stop_requests_last_calls_total {}\n",
                        counts.requests - countsAtBegin_.requests,
                        counts.closedIdle - countsAtBegin_.closedIdle,
-                       counts.timedOut - countsAtBegin_.timedOut);
+                       counts.lastCalls - countsAtBegin_.lastCalls);
 }
 
 } // namespace fireflyroute::app
--- a/app/process_stop.h
+++ b/app/process_stop.h
@@ -37,7 +37,7 @@
 private:
     void step();
     void scheduleStep();
-    void logPhase(const core::StopLoad &load, std::size_t unread) const;
+    void logPhase(const core::StopLoad &load) const;
 
     core::StopSequence &sequence_;
     StructuredLog &log_;
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -2,6 +2,7 @@
 
 #include "net/server_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -371,12 +372,18 @@
         awaitReadable();
 }
 
-// A request may also lie in the kernel.
+// Whether part of a request was read that is not passed to the handler yet.
+bool ServerSession::hasReadPart() const
+{
+    return open_ && !requestActive_ && !closeAfterWrite_
+           && (!input_.empty() || parser_->requestStarted);
+}
+
 bool ServerSession::hasUnreadRequest() const
 {
     error_code ignored;
-    return open_ && !requestActive_ && !closeAfterWrite_
-           && (!input_.empty() || parser_->requestStarted || socket_.available(ignored) != 0);
+    return hasReadPart()
+           || (open_ && !requestActive_ && !closeAfterWrite_ && socket_.available(ignored) != 0);
 }
 
 void ServerSession::closeIfIdle(std::chrono::milliseconds quietPeriod)
@@ -393,19 +400,18 @@
 void ServerSession::endRequest()
 {
     if (hasUnreadRequest()) {
-        ++group_->counts.timedOut;
+        ++group_->counts.lastCalls;
         reject(kStatusRequestTimeout);
     } else if (lastCallHandler_) {
-        ++group_->counts.timedOut;
+        ++group_->counts.lastCalls;
         std::exchange(lastCallHandler_, nullptr)();
     }
 }
 
 SessionLoad ServerSession::load() const
 {
-    const bool isUnread = hasUnreadRequest();
-    const bool hasRequest = requestActive_ || unsentBytes_ != 0 || isUnread;
-    return {hasRequest ? 1U : 0U, isUnread ? 1U : 0U, open_ ? 1U : 0U};
+    const bool hasRequest = requestActive_ || unsentBytes_ != 0 || hasReadPart();
+    return {hasRequest ? 1U : 0U, open_ ? 1U : 0U};
 }
 
 void ServerSession::close()
@@ -482,12 +488,18 @@
     for (const ServerSession *session : group.sessions) {
         const SessionLoad load = session->load();
         sum.requests += load.requests;
-        sum.unread += load.unread;
         sum.connections += load.connections;
     }
     return sum;
 }
 
+std::size_t countUnread(const SessionGroup &group)
+{
+    return static_cast<std::size_t>(std::count_if(
+            group.sessions.begin(), group.sessions.end(),
+            [](const ServerSession *session) { return session->hasUnreadRequest(); }));
+}
+
 void announceEnd(SessionGroup &group)
 {
     group.announcesEnd = true;
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -58,14 +58,13 @@
     std::uint64_t requests = 0; // passed to the handler
     std::uint64_t closedIdle = 0; // connections closed by closeIdleSessions()
     std::uint64_t closedUnused = 0; // those of closedIdle that never carried a request
-    std::uint64_t timedOut = 0; // requests that endRequests() ended
+    std::uint64_t lastCalls = 0; // requests whose response endRequests() asked for
 };
 
 // What the sessions of one listener hold.
 struct SessionLoad
 {
-    std::size_t requests = 0; // of which any part has arrived and whose response is not fully sent
-    std::size_t unread = 0; // those of requests that are not passed to the handler yet
+    std::size_t requests = 0; // of which any part was read and whose response is not fully sent
     std::size_t connections = 0; // not closed
 };
 
@@ -125,6 +124,10 @@
 
     [[nodiscard]] SessionLoad load() const;
 
+    // Whether a request has arrived, at least in part, that is not passed to the handler yet. It
+    // may lie in the kernel.
+    [[nodiscard]] bool hasUnreadRequest() const;
+
     // Bytes of the current response that the kernel has not accepted yet.
     [[nodiscard]] std::size_t unsentBytes() const { return unsentBytes_; }
     [[nodiscard]] std::size_t unsentBytesOfGroup() const { return group_->unsentBytes; }
@@ -141,7 +144,7 @@
     void dispatch();
     void reject(unsigned status);
     void handleDisconnect();
-    [[nodiscard]] bool hasUnreadRequest() const;
+    [[nodiscard]] bool hasReadPart() const;
     void finishResponse();
     void awaitClose();
     void discardInput();
@@ -183,6 +186,10 @@
 
 [[nodiscard]] SessionLoad loadOf(const SessionGroup &group);
 
+// Returns the number of requests that are not passed to the handler yet, also those that lie in the
+// kernel. Costs a system call for each connection.
+[[nodiscard]] std::size_t countUnread(const SessionGroup &group);
+
 // The steps of a stop, in this order. core/stop_sequence.h decides when each is due.
 
 // From now on, each response announces the end of its connection.
