Tell callers that a request has not run if its endpoint was never connected

At the last call of a stop, a request whose connection to the endpoint was not established yet was answered with 504, though no byte of it can have run: 408 now, as after a failed connection. Found by reading.

--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -1009,8 +1009,11 @@
 {
     if (finished_ || responseStarted_)
         return;
-    if (attempt_)
-        attemptTracker_.recordOutcome(core::AttemptOutcome::Failed);
+    if (attempt_) {
+        const bool isConnected = attempt_->exchange.connection->isConnected();
+        attemptTracker_.recordOutcome(isConnected ? core::AttemptOutcome::Failed
+                                                  : core::AttemptOutcome::NotSent);
+    }
     endAttempt();
     deadlineAt_ = plane_.clock.now();
     failRequest("process stops");
