Close a stopping listener 50 ms after it keeps new connections out

Two round trips between regions are enough for handshakes that have begun; the first packet that was dropped is repeated after 1 s, and refused then.

--- a/net/tcp_acceptor.cpp
+++ b/net/tcp_acceptor.cpp
@@ -22,8 +22,9 @@
 // Delay after a failed accept, for example when the process has run out of file descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 
-// Time for handshakes that have begun when the listener stops: several round trips between regions.
-constexpr std::chrono::milliseconds kHandshakePeriod{100};
+// Time for handshakes that have begun when the listener stops: two round trips between regions. A
+// caller that begins one meanwhile repeats its first packet after a second, and is then refused.
+constexpr std::chrono::milliseconds kHandshakePeriod{50};
 
 // The kernel applies a filter to TCP packets from their TCP header on.
 constexpr std::uint32_t kTcpFlagsOffset = 13;
