--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -4,6 +4,7 @@
 #include "net/address.h"
 #include "net/endpoint_connection.h"
 #include "net/server_session.h"
+#include "net/testing/server_fixture.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -31,7 +32,7 @@
 // What the scripted peer does with its connection after the last response.
 enum class PeerEnd { KeepOpen, Close, Reset };
 
-struct HttpSessionFixture
+struct HttpSessionFixture : ServerFixture
 {
     // Starts a peer that accepts one connection. For each response it reads one request head and
     // then sends the response. It sends `lateBytes` when `sendLateBytes` is set.
@@ -103,64 +104,15 @@
         return *outcome;
     }
 
-    // Runs pending handlers until the condition holds. The deadline only prevents an endless wait.
-    template<typename Condition>
-    void runUntil(Condition condition)
-    {
-        const auto deadline = std::chrono::steady_clock::now() + 10s;
-        while (!condition() && std::chrono::steady_clock::now() < deadline) {
-            io.restart();
-            io.run_one_for(100ms);
-        }
-        BOOST_REQUIRE(condition());
-    }
-
     void connectTo(const std::string &address)
     {
         connection = std::make_shared<EndpointConnection>(io, parseAddress(address).value());
     }
 
-    // Starts a server that answers each request with 200. Returns its address.
-    std::string startServer(const SessionLimits &limits)
-    {
-        tcp::acceptor portReservation(io, tcp::endpoint(tcp::v4(), 0));
-        const std::string address =
-                "127.0.0.1:" + std::to_string(portReservation.local_endpoint().port());
-        portReservation.close();
-        auto accepted = acceptSessions(
-                io, address, limits,
-                [](const std::shared_ptr<ServerSession> &session, const HttpRequestMessage &) {
-                    session->respond({200, {}, "ok"});
-                });
-        BOOST_REQUIRE(accepted);
-        group = accepted.value();
-        return address;
-    }
-
-    unsigned statusOfRequest(tcp::socket &caller)
-    {
-        boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
-        return statusOfResponse(caller);
-    }
-
-    // Returns the status of the next response, or 0 if the server ended the connection.
-    unsigned statusOfResponse(tcp::socket &caller)
-    {
-        std::string received;
-        std::optional<boost::system::error_code> result;
-        boost::asio::async_read_until(
-                caller, boost::asio::dynamic_buffer(received), "\r\n\r\n",
-                [&](const boost::system::error_code &error, std::size_t) { result = error; });
-        runUntil([&] { return result.has_value(); });
-        return *result ? 0 : static_cast<unsigned>(std::stoul(received.substr(9, 3)));
-    }
-
     boost::asio::io_context scriptIo;
-    boost::asio::io_context io;
     std::thread scriptThread;
     std::promise<void> sendLateBytes;
     std::shared_ptr<EndpointConnection> connection;
-    std::shared_ptr<SessionGroup> group; // of startServer()
 };
 
 std::string response(const std::string &responseId, const std::string &body)
