--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -70,7 +70,9 @@
     or a function that is called with the worker and the request, and returns whether it responded. The
     worker ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
 
-    def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None):
+    def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None,
+                 names_requests=False):
+        self.names_requests = names_requests  # whether events name the request that they answer
         self.site, self.name, self.service, self.version = site, name, service, version
         self.faults, self.deadly_part = faults or {}, deadly_part
         self.crashes = 0
@@ -133,7 +135,7 @@
         if self.is_cut_off(request):
             return
         length = int(request.headers.get("Content-Length") or 0)
-        request.rfile.read(length)
+        request.body = request.rfile.read(length)
         if request.headers.get("Fireflyroute-Expect-Instance") != self.name:
             self.reply(request, 421, {"Fireflyroute-Instance-Id": self.name})
             return
@@ -266,9 +268,10 @@
             request.send_header(name, value)
         request.end_headers()
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        name = " " + request.headers["Fireflyroute-Request-Id"] if self.names_requests else ""
         try:
             for number in range(first, EVENT_COUNT + 1):
-                event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+                event = b"id: %d\ndata: token-%d%s\n\n" % (number, number, name.encode())
                 if fault == "break-late" and number == 5:
                     time.sleep(1)
                 if fault in ("break", "break-late", "break-once") and number == 5:
@@ -357,6 +360,9 @@
         self.entries = ["127.%d.2.%d" % (network, i + 1) for i in range(entries)]
         self.network, self.processes, self.workers = network, {}, []
         self.requests = 0
+        self.seeds = self.control[:3]
+        # The retry budget must suffice for a few requests, most of which fail once.
+        self.more_flags = {"site_retry_ratio": "9"}
         self.cuts = {}  # entries that are cut off from the workers: "reset" or "silent"
         self.cut_over = threading.Event()
 
@@ -377,21 +383,25 @@
                 process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def start(self, ip, first_start=False):
-        role = "control" if ip in self.control else "entry"
+    def write_settings(self, ip, first_start=False):
+        """Replaces the settings file of a process, which may read it at any time. Returns its path."""
         flags = {"site_vm_ip": ip, "site_data_centre": "a", "site_regions": "a=r",
                  "site_link_port": "7340", "site_first_start": str(first_start).lower(),
-                 # The retry budget must suffice for a few requests, most of which fail once.
-                 "site_retry_ratio": "9",
-                 "site_seeds": ",".join(item + ":8229" for item in self.control[:3])}
-        if role == "control":
+                 "site_seeds": ",".join(item + ":8229" for item in self.seeds), **self.more_flags}
+        if ip in self.control:
             flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip))
         else:
             flags.update(site_callers=ip + ":8227", site_readiness=ip + ":8220",
                          site_metrics=ip + ":9464", site_relay_port="7355")
         path = os.path.join(self.folder, ip + ".flags")
-        with open(path, "w", encoding="utf-8") as file:
+        with open(path + ".new", "w", encoding="utf-8") as file:
             file.writelines("--%s=%s\n" % item for item in flags.items())
+        os.replace(path + ".new", path)
+        return path
+
+    def start(self, ip, first_start=False):
+        role = "control" if ip in self.control else "entry"
+        path = self.write_settings(ip, first_start)
         with open(os.path.join(self.folder, ip + ".log"), "a", encoding="utf-8") as log:
             self.processes[ip] = subprocess.Popen(
                 [BINARY, "site", "--site_role=" + role], stdout=log,
@@ -481,13 +491,14 @@
         return result[-1]
 
     def configure(self, version, keys=("k1",), prefix="/calls/", draft_fields=None,
-                  refund_fields=None):
+                  refund_fields=None, change=None):
+        """`change` is called with the configuration before it is sent."""
         def route(name, path, kind, service, **more):
             return dict({"name": name, "host": "desk.example", "pathPrefix": path, "kind": kind,
                          "timeoutMs": 6000, "targetLatencyMs": 2000, "service": service,
                          "maxAttempts": 3}, **more)
 
-        body = json.dumps({
+        config = {
             "version": version,
             "routes": [
                 route("lookup", prefix, "safe", "ledger"),
@@ -500,7 +511,10 @@
             "services": [{"name": "ledger"},
                          {"name": "llm", "engine": {"stride": 1, "models": [
                              {"name": "small", "cost": 0.1}, {"name": "large", "cost": 1}]}}],
-            "tenants": [{"name": "duka", "apiKeys": list(keys)}]})
+            "tenants": [{"name": "duka", "apiKeys": list(keys)}]}
+        if change:
+            change(config)
+        body = json.dumps(config)
         return body, self.operator_call("POST", "/fireflyroute/Config.Replace", body)
 
     def request(self, path, method="GET", key="k1", entry=0, headers=None, timeout=8):
