Vary callers, keys and pace of the soak of planned work by seed

Half of the seeds have no long requests, so that their processes exit as soon as they are idle. Callers use keys of acknowledged versions, leaders and followers are chosen, traffic is split between two services that have workers, and a process is signalled only once it listens: before that, a signal ends it by default.

--- a/testing/planned_soak.py
+++ b/testing/planned_soak.py
@@ -1,16 +1,16 @@
 """A soak of planned work with real processes: callers of all kinds use a site while its processes are
 stopped, restarted and reloaded, workers come and go, and the configuration changes. Nothing fails
 unplanned, so no request may be lost, run twice, run after a refusal, or get another one's answer.
-
-    python3 testing/planned_soak.py --seeds 1-50
-
 All choices come from the seed. A failure is printed with it, the timeline of the planned work, and the
 log lines of the process that took the request.
+
+    python3 testing/planned_soak.py --seeds 1-50
 """
 
 import argparse
 import collections
 import concurrent.futures
+import dataclasses
 import hashlib
 import json
 import os
@@ -32,41 +32,30 @@
 STREAM_START_S = 3  # streams that begin later than this after SIGTERM may not be broken
 IDLE_S = 0.2  # a request on a connection that was idle for longer may cross its close
 DRAIN_S = 4  # of a worker, until it deregisters, and again until it ends
+APPLY_S = 5  # after the acknowledgement of a version, its keys are used
 LARGE_BYTES = 300000
 REFUSALS = (408, 421, 429, 503)
 FIRST_NETWORK, NETWORKS = 80, 38  # second octets of the addresses
 
 
-def seeded(*parts):
-    return random.Random(" ".join(map(str, parts)))
-
-
-# What workers do, by the last segment of the path.
+def echo_of(path, identity, body):
+    """Returns the body of the answer: the id of the request and a digest of its body."""
+    filler = b"x" * LARGE_BYTES if path.endswith("large") else b""
+    return filler + ("%s %s" % (identity, hashlib.sha1(body).hexdigest())).encode()
 
 
-def digest(body):
-    return hashlib.sha1(body).hexdigest()
-
-
-def echo(worker, request, pause_s=0.0, filler=b""):
-    """Answers with the id of the request and a digest of its body."""
+def echo(worker, request):
+    """Work of a worker, which takes some time if the path says so."""
     worker.record_run(request)
-    time.sleep(pause_s)
-    text = "%s %s" % (request.headers["Fireflyroute-Request-Id"], digest(request.body))
-    worker.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL}, filler + text.encode())
+    identity = request.headers["Fireflyroute-Request-Id"]
+    if request.path.endswith("late"):
+        time.sleep(random.Random(identity).uniform(0.3, 3))
+    worker.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL},
+                 echo_of(request.path, identity, request.body))
     return True
 
 
-def echo_late(worker, request):
-    pause_s = seeded(request.headers["Fireflyroute-Request-Id"]).uniform(0.3, 3)
-    return echo(worker, request, pause_s)
-
-
-def echo_large(worker, request):
-    return echo(worker, request, filler=b"x" * LARGE_BYTES)
-
-
-WORK = {"echo": echo, "late": echo_late, "large": echo_large, "slow": "slow"}
+WORK = {"echo": echo, "late": echo, "large": echo, "slow": "slow"}  # by the end of the path
 
 
 class Request:
@@ -74,21 +63,20 @@
 
     def __init__(self, identity, kind, ip, path, body=b""):
         self.identity, self.kind, self.ip, self.path, self.body = identity, kind, ip, path, body
+        self.is_stream = path.startswith(("/letters/", "/drafts/"))
         self.idle_s = None  # time without a byte on its connection before it; None on a new one
-        self.begun_at = time.monotonic()
+        self.begun_at, self.ended_at = time.monotonic(), None
         self.sent_at = None  # None if it was not sent whole
-        self.ended_at = None
         self.received_bytes = 0  # of its answer
         self.extra_bytes = b""  # after its answer, with no request waiting
         self.is_untaken = False  # behind an answer that announced the end of the connection
         self.answer = Answer(problem="not sent")
 
     def expected_body(self):
-        if self.path.startswith(("/letters/", "/drafts/")):
+        if self.is_stream:
             return "".join("id: %d\ndata: token-%d %s\n\n" % (number, number, self.identity)
                            for number in range(1, EVENT_COUNT + 1)).encode()
-        filler = b"x" * LARGE_BYTES if self.path.endswith("large") else b""
-        return filler + ("%s %s" % (self.identity, digest(self.body))).encode()
+        return echo_of(self.path, self.identity, self.body)
 
     def __str__(self):
         return "%s %s: begun %.3f sent %.3f ended %.3f idle %s status %d %r received %d" % (
@@ -109,27 +97,28 @@
         data = self.socket.recv(8192 if self.pause_s else 65536)
         if not data:
             raise OSError("closed by the entry")
+        if not (self.pause_s and self.received):  # for the entry, a slow reader is idle meanwhile
+            self.last_byte_at = time.monotonic()
         self.received += data
         self.total_bytes += len(data)
-        self.last_byte_at = time.monotonic()
 
 
+@dataclasses.dataclass
 class Kind:
     """How callers of a kind use their connections. A request is sent in `pieces`, with pauses."""
 
-    def __init__(self, path, method="POST", keeps=True, pause_s=0.04, batch=1, pieces=1, reads_s=0.0,
-                 version="1.1", fields=None, expects=False, body_bytes=20):
-        self.path, self.method, self.keeps, self.pause_s = path, method, keeps, pause_s
-        self.batch, self.pieces, self.reads_s, self.version = batch, pieces, reads_s, version
-        self.fields, self.expects, self.body_bytes = fields or {}, expects, body_bytes
-
-    @property
-    def runs_once(self):
-        return self.path.startswith("/refunds/")
-
-    @property
-    def is_stream(self):
-        return self.path.startswith(("/letters/", "/drafts/"))
+    path: str
+    method: str = "POST"
+    keeps: bool = True
+    pause_s: float = 0.04
+    batch: int = 1
+    pieces: int = 1
+    reads_s: float = 0
+    version: str = "1.1"
+    fields: dict = dataclasses.field(default_factory=dict)
+    expects: bool = False
+    body_bytes: int = 20
+    is_long: bool = False
 
 
 MODEL = {"Fireflyroute_Model": "*", "Fireflyroute_Token_Counts": "10,12",
@@ -140,11 +129,11 @@
     "safe-fresh": Kind("/calls/echo", "GET", keeps=False),
     "unsafe-kept": Kind("/refunds/echo"),
     "unsafe-fresh": Kind("/refunds/echo", keeps=False),
-    "unsafe-late": Kind("/refunds/late"),
+    "unsafe-late": Kind("/refunds/late", is_long=True),
     "letter": Kind("/letters/1", "GET", fields=STREAM),
-    "letter-slow": Kind("/letters/slow", "GET", pause_s=0.3, fields=STREAM),
+    "letter-slow": Kind("/letters/slow", "GET", pause_s=0.3, fields=STREAM, is_long=True),
     "draft": Kind("/drafts/1", "GET", pause_s=0.1, fields=MODEL),
-    "draft-slow": Kind("/drafts/slow", "GET", keeps=False, pause_s=0.3, fields=MODEL),
+    "draft-slow": Kind("/drafts/slow", "GET", keeps=False, pause_s=0.3, fields=MODEL, is_long=True),
     "upload": Kind("/refunds/echo", pieces=8, body_bytes=20000),
     "upload-fresh": Kind("/refunds/echo", keeps=False, pieces=8, body_bytes=20000),
     "reader": Kind("/calls/large", "GET", reads_s=0.02),
@@ -163,21 +152,22 @@
         super().__init__(daemon=True)
         self.soak, self.kind_name, self.kind, self.ip = soak, kind_name, KINDS[kind_name], ip
         self.name = "%d-%s-%s-%d" % (soak.seed, kind_name, ip, number)
-        self.random = seeded(self.name)
+        self.random = random.Random(self.name)
         self.requests, self.connection = [], None
+        self.pause_s = self.kind.pause_s * self.random.choice((0.1, 1, 1, 2))
 
     def run(self):
-        while not self.soak.is_over.wait(self.random.random() * 2 * self.kind.pause_s):
+        while not self.soak.is_over.wait(self.random.random() * 2 * self.pause_s):
             try:
-                if not self.connection or not self.connection.is_open or not self.kind.keeps:
-                    if self.connection:
-                        self.connection.close()
+                if not self.connection or not self.connection.is_open:
                     self.connection = SoakConnection(self.ip, self.kind.reads_s)
             except OSError:
                 self.connection = None
                 self.soak.is_over.wait(0.05)  # nobody listens
                 continue
             self.use()
+            if not self.kind.keeps:
+                self.connection.close()
         if self.connection:
             self.connection.close()
 
@@ -199,15 +189,15 @@
         connection, kind = self.connection, self.kind
         is_used = connection.requests > 0
         connection.requests += len(batch)
-        data = [encode(kind.method, request.path, request.identity, request.body, **kind.fields,
-                       **({"Expect": "100-continue"} if kind.expects else {})) for request in batch]
-        data = b"".join(data)
+        key = self.random.choice([key for at, key in self.soak.keys if at < time.monotonic()])
+        fields = dict(kind.fields, Authorization="Token " + key,
+                      Expect="100-continue" if kind.expects else None)
+        data = b"".join(encode(kind.method, request.path, request.identity, request.body, **fields)
+                        for request in batch)
         if kind.version == "1.0":
             data = data.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n", 1)
-        rest = b""
-        if kind.expects:
-            rest = batch[0].body
-            data = data[:len(data) - len(rest)]
+        rest = batch[0].body if kind.expects else b""
+        data = data[:len(data) - len(rest)]
         size = -(-len(data) // kind.pieces)
         for start in range(0, len(data), size):
             connection.send(data[start:start + size])
@@ -236,9 +226,7 @@
             else:
                 before = connection.total_bytes - len(connection.received)
                 request.answer = connection.receive()
-                request.received_bytes = connection.total_bytes - len(connection.received) - before
-                if not request.answer.status:
-                    request.received_bytes = connection.total_bytes - before
+                request.received_bytes = connection.total_bytes - before
                 announces_end = request.answer.fields.get("connection", "").lower() == "close"
             request.ended_at = time.monotonic()
         request.extra_bytes = connection.received
@@ -246,30 +234,30 @@
             connection.close()
 
 
+@dataclasses.dataclass
 class Stop:
     """A planned stop of a process."""
 
-    def __init__(self, ip, process):
-        self.ip, self.process, self.at, self.ended_at = ip, process, time.monotonic(), None
-
-    def used_up_grace(self):
-        return self.ended_at is not None and self.ended_at - self.at >= FULL_GRACE_S
+    ip: str
+    at: float
+    ended_at: float = None
 
 
 class Soak:
     """One run. `failures` has the texts of what went wrong."""
 
     def __init__(self, seed, seconds, network=None):
-        self.seed, self.seconds = seed, seconds
-        self.random = seeded(seed, "plan")
+        self.seed, self.seconds, self.random = seed, seconds, random.Random("plan %d" % seed)
         network = network or FIRST_NETWORK + seed % NETWORKS
         self.site = Site(network, entries=self.random.choice((2, 3)))
-        self.failures, self.counts = [], collections.Counter()
-        self.timeline, self.begun_at = [], time.monotonic()
+        self.has_long = self.random.random() < 0.5
+        self.failures, self.counts, self.timeline = [], collections.Counter(), []
         self.is_over, self.lock = threading.Event(), threading.Lock()
         self.stops, self.stopping, self.restarts = [], {}, {}  # by IP
-        self.version, self.settings, self.routes = 1, {}, 0
-        self.tasks, self.retired = [], set()
+        self.starting = set()  # a signal before the process handles any ends it
+        self.version, self.settings = 1, {"routes": 0, "timeoutMs": 6000, "idleTimeoutMs": 15000,
+                                       "keys": 1, "weight": 99}
+        self.tasks, self.retired, self.keys = [], set(), [(0, "k1")]
 
     def note(self, text):
         self.timeline.append("%.3f %s" % (time.monotonic(), text))
@@ -280,39 +268,40 @@
     def run(self):
         with self.site:
             self.site.configure(1, draft_fields={"timeoutMs": 15000})
-            for number in range(2):
-                self.add_worker("ledger")
-                self.add_worker("llm")
+            for service in ("ledger", "llm", "ledger-next") * 2:
+                self.add_worker(service)
+            fields = {name.replace("_", "-"): value for name, value in MODEL.items()}
             for number in range(len(self.site.entries)):
-                wait_until(lambda number=number: self.site.is_ready(number), "the entry is ready")
-                for path, kind in (("/calls/echo", {}), ("/drafts/1", MODEL)):
-                    fields = {name.replace("_", "-"): value for name, value in kind.items()}
-                    wait_until(lambda path=path, number=number, fields=fields: self.site.request(
+                for path in ("/calls/echo", "/drafts/1"):
+                    wait_until(lambda number=number, path=path: self.site.request(
                         path, entry=number, headers=fields)[0] == 200, path + " is served")
             wait_until(lambda: self.site.voters() == 3, "all control VMs vote")
-            self.begun_at = time.monotonic()
-            callers = [Caller(self, name, ip, number) for ip in self.site.entries for name in KINDS
-                       for number in range(1)]
+            begun_at = time.monotonic()
+            # Without long requests processes exit as soon as they are idle.
+            kinds = [name for name, kind in KINDS.items() if self.has_long or not kind.is_long]
+            callers = [Caller(self, name, ip, number) for ip in self.site.entries for name in kinds
+                       for number in range(self.random.choice((0, 1, 1, 2)))]
+            callers.append(threading.Thread(target=self.supervise, daemon=True))
             for caller in callers:
                 caller.start()
-            supervisor = threading.Thread(target=self.supervise)
-            supervisor.start()
-            self.plan()
+            self.plan(begun_at)
             self.is_over.set()
-            for thread in callers + self.tasks + [supervisor]:
+            for thread in callers:
+                thread.join()
+            for thread in self.tasks:
                 thread.join()
             time.sleep(3.2)  # workers finish what nobody waits for any more
-            self.check([request for caller in callers for request in caller.requests])
+            self.check([request for caller in callers[:-1] for request in caller.requests])
             return self.report()
 
     # The planned work.
 
-    def plan(self):
+    def plan(self, begun_at):
         actions = (self.stop_entries,) * 4 + (self.stop_control,) * 2 + (self.reload,) * 2 + (
             self.change_settings, self.change_config, self.change_config, self.exchange_seeds,
             self.drain_worker)
         time.sleep(0.5)
-        while time.monotonic() < self.begun_at + self.seconds:
+        while time.monotonic() < begun_at + self.seconds:
             self.random.choice(actions)()
             time.sleep(self.random.random() ** 2 * 2)
 
@@ -323,17 +312,17 @@
             except (AssertionError, OSError) as problem:
                 self.fail("%s: %r" % (target.__name__, problem))
 
-        self.tasks.append(threading.Thread(target=run))
+        self.tasks.append(threading.Thread(target=run, daemon=True))
         self.tasks[-1].start()
 
     def running(self, ips):
         with self.lock:
-            return [ip for ip in ips if ip not in self.stopping and ip not in self.restarts]
+            return [ip for ip in ips if ip not in {*self.starting, *self.stopping, *self.restarts}]
 
     def stop(self, ip):
         with self.lock:
             self.note("SIGTERM " + ip)
-            self.stopping[ip] = Stop(ip, self.site.processes[ip])
+            self.stopping[ip] = Stop(ip, time.monotonic())
             self.stops.append(self.stopping[ip])
             self.site.kill(ip, signal.SIGTERM)
 
@@ -345,21 +334,25 @@
 
     def stop_control(self):
         """Stops one control VM at a time: without a majority the site can't change."""
-        ips = self.running(self.site.control)
-        ip = self.random.choice(self.site.control)
-        if len(ips) == len(self.site.control) and self.is_group_whole():
-            self.stop(ip)
-
-    def is_group_whole(self):
         ended = [stop.ended_at for stop in self.stops if stop.ip in self.site.control]
-        return all(at is not None and at < time.monotonic() - 4 for at in ended)
+        ips, wants_leader = self.site.control[:], self.random.random() < 0.5
+        self.random.shuffle(ips)
+        if len(self.running(ips)) == len(ips) and all(
+                at and at < time.monotonic() - 4 for at in ended):
+            self.stop(([ip for ip in ips if wants_leader
+                       == self.control_accepts("GET", ip, "Config.Read")] or ips)[0])
 
-    def reload(self):
-        self.send_reload(self.random.choice(self.site.control + self.site.entries))
+    @staticmethod
+    def control_accepts(method, ip, path, body=None):
+        try:
+            return call(method, ip + ":8229", "/fireflyroute/" + path, body, timeout=1)[0] == 200
+        except OSError:
+            return False
 
-    def send_reload(self, ip):
+    def reload(self, ip=None):
+        ip = ip or self.random.choice(self.site.control + self.site.entries)
         with self.lock:
-            if self.site.processes[ip].poll() is None and ip not in self.restarts:
+            if self.site.processes[ip].poll() is None and ip not in self.starting:
                 self.note("SIGHUP " + ip)
                 self.site.kill(ip, signal.SIGHUP)
 
@@ -378,55 +371,49 @@
         for ip in self.site.control + self.site.entries:
             self.site.write_settings(ip)
             if self.random.random() < 0.7:
-                self.send_reload(ip)
+                self.reload(ip)
 
     def change_config(self):
-        kind = self.random.choice(("routes", "timeouts", "limits", "keys", "weights"))
-        if kind == "routes":
-            self.routes = self.random.randint(0, 40)
-        elif kind == "timeouts":
-            self.settings["timeoutMs"] = self.random.randint(4000, 9000)
-        elif kind == "limits":
-            self.settings["idleTimeoutMs"] = self.random.choice((1000, 2500, 6000, 15000))
-        elif kind == "keys":
-            self.settings["keys"] = self.settings.get("keys", 1) + 1
-        else:
-            self.settings["weight"] = self.random.randint(1, 99)
+        kind = self.random.choice(list(self.settings))
+        self.settings[kind] = {
+            "routes": lambda: self.random.randint(0, 40),
+            "timeoutMs": lambda: self.random.randint(4000, 9000),
+            "idleTimeoutMs": lambda: self.random.choice((1000, 2500, 6000, 15000)),
+            "keys": lambda: self.settings["keys"] + 1,
+            "weight": lambda: self.random.randint(1, 99)}[kind]()
         self.version += self.random.randint(1, 3)
-        self.start_task(self.configure, self.version, self.routes, dict(self.settings))
+        self.start_task(self.configure, self.version, dict(self.settings))
 
-    def configure(self, version, routes, settings):
+    def configure(self, version, settings):
         def change(config):
-            timeouts = {"timeoutMs": settings.get("timeoutMs", 6000)}
-            for route in config["routes"]:
-                if route["kind"] != "streaming":
-                    route.update(timeouts)
-            config["routes"] += [dict(config["routes"][0], name="more-%d" % number,
-                                      pathPrefix="/more-%d/" % number) for number in range(routes)]
-            config["limits"] = {"idleTimeoutMs": settings.get("idleTimeoutMs", 15000)}
-            if "weight" in settings:
-                config["services"].append({"name": "ledger-next"})
-                lookup = config["routes"][0]
-                del lookup["service"]
-                lookup["trafficSplit"] = [
-                    {"service": "ledger", "weight": settings["weight"]},
-                    {"service": "ledger-next", "weight": 100 - settings["weight"]}]
-
-        self.note("version %d: %d more routes, %s" % (version, routes, settings))
-        keys = ["k%d" % number for number in range(1, settings.get("keys", 1) + 1)]
+            routes = config["routes"]
+            for route in routes[:2]:  # calls
+                route["timeoutMs"] = settings["timeoutMs"]
+            routes += [dict(routes[0], name="more-%d" % number, pathPrefix="/more-%d/" % number)
+                       for number in range(settings["routes"])]
+            config["services"].append({"name": "ledger-next"})
+            config["limits"] = {"idleTimeoutMs": settings["idleTimeoutMs"]}
+            del routes[0]["service"]
+            routes[0]["trafficSplit"] = [
+                {"service": "ledger", "weight": settings["weight"]},
+                {"service": "ledger-next", "weight": 100 - settings["weight"]}]
+
+        self.note("version %d: %s" % (version, settings))
+        keys = ["k%d" % number for number in range(1, settings["keys"] + 1)]
         answer = self.site.configure(version, keys=keys, draft_fields={"timeoutMs": 15000},
                                      change=change)[1]
         self.note("version %d: %s" % (version, answer))
+        self.keys.append((time.monotonic() + APPLY_S, keys[-1]))
         if answer[0] != 200:
             self.fail("version %d was refused: %s" % (version, answer))
 
     def add_worker(self, service):
         name = "i-%d" % (len(self.site.workers) + 1)
         self.note("new worker %s of %s" % (name, service))
-        return self.site.worker(name, service, faults=dict(WORK), names_requests=True)
+        self.site.worker(name, service, faults=dict(WORK), names_requests=True)
 
     def drain_worker(self):
-        service = self.random.choice(("ledger", "ledger", "llm"))
+        service = self.random.choice(("ledger", "ledger-next", "llm"))
         old = [worker for worker in self.site.workers
                if worker.service == service and worker.name not in self.retired]
         self.add_worker(service)
@@ -441,24 +428,16 @@
         time.sleep(DRAIN_S)
         worker.stopped.set()  # no more heartbeats
         time.sleep(0.3)
-        body = json.dumps({"born": worker.started_at_ms, "sequence": worker.sequence + 1})
-        wait_until(lambda: any(self.deregister(ip, worker, body) for ip in self.site.control),
-                   worker.name + " to deregister")
+        body, path = json.dumps({"born": worker.started_at_ms}), "Instances.Deregister/" + worker.name
+        wait_until(lambda: any(self.control_accepts("POST", ip, path, body)
+                               for ip in self.site.control), worker.name + " to deregister")
         self.note("%s has deregistered" % worker.name)
         time.sleep(DRAIN_S)
         worker.stop()
 
-    @staticmethod
-    def deregister(ip, worker, body):
-        try:
-            return call("POST", ip + ":8229", "/fireflyroute/Instances.Deregister/" + worker.name,
-                        body, timeout=1)[0] < 300
-        except OSError:
-            return False
-
     def supervise(self):
         """Watches the ends of processes and restarts those that were stopped."""
-        restart_random = seeded(self.seed, "restarts")
+        restart_random = random.Random("restarts %d" % self.seed)
         while not self.is_over.is_set() or self.stopping or self.restarts:
             time.sleep(0.01)
             with self.lock:
@@ -469,9 +448,9 @@
                     if time.monotonic() >= due:
                         del self.restarts[ip]
                         self.note("start " + ip)
+                        self.starting.add(ip)
                         self.site.start(ip)
-                        if restart_random.random() < 0.4:
-                            self.start_task(self.reload_at_start, ip)
+                        self.start_task(self.await_start, ip, restart_random.random() < 0.4)
 
     def watch(self, ip, process, restart_random):
         stop, code, now = self.stopping.get(ip), process.poll(), time.monotonic()
@@ -481,21 +460,20 @@
                 process.kill()
                 process.wait()
             return
-        self.note("%s has ended: %d%s" % (ip, code, ", %.2f s" % (now - stop.at) if stop else ""))
-        if not stop:
-            self.fail("the process ended by itself: %d" % code, ip)
-        else:
-            stop.ended_at = now
-            self.stopping.pop(ip)
-            if code:
-                self.fail("the process ended with %d" % code, ip)
+        self.note("%s has ended: %d%s" % (ip, code, " after %.2f s" % (now - stop.at) if stop else ""))
+        if stop:
+            self.stopping.pop(ip).ended_at = now
+        if code or not stop:
+            self.fail("the process ended %s: %d" % ("with a failure" if stop else "by itself", code), ip)
         self.restarts[ip] = now + restart_random.choice((0, 0.2, 1.5))
 
-    def reload_at_start(self, ip):
+    def await_start(self, ip, reloads):
         port = 8229 if ip in self.site.control else 8227
         wait_until(lambda: socket.create_connection((ip, port)).close() is None, "a listener",
-                   pause_s=0)
-        self.send_reload(ip)
+                   pause_s=0.002)
+        self.starting.discard(ip)
+        if reloads:
+            self.reload(ip)
 
     # The checks.
 
@@ -515,25 +493,25 @@
 
     def problem_of(self, request, runs):
         """Returns what is wrong with a request, or None."""
-        kind, answer = KINDS[request.kind], request.answer
-        if kind.runs_once and runs > 1:
+        answer, named = request.answer, request.answer.fields.get("fireflyroute-request-id")
+        if request.path.startswith("/refunds/") and runs > 1:
             return "ran more than once"
+        if named not in (None, request.identity):
+            return "answer of another request (%s)" % named
         if request.extra_bytes and answer.status:
             return "bytes after the answer: %r" % request.extra_bytes[:80]
         if answer.status in REFUSALS:
             return "refused and ran" if runs else None
         if answer.status == 200:
-            named = answer.fields.get("fireflyroute-request-id")
-            if named != request.identity or answer.body != request.expected_body():
-                return "answer of another request, or not whole (id %s)" % named
-            return None
+            is_whole = named and answer.body == request.expected_body()
+            return None if is_whole else "answer of another request, or not whole"
         if answer.status:
             self.counts["failure %d" % answer.status] += 1
             return None if answer.status in (502, 504) else "proper request denied"
         if request.sent_at is None or request.is_untaken:
             self.counts["not taken" if request.is_untaken else "not sent whole"] += 1
             return "ran although it was not taken" if runs else None
-        if kind.is_stream and request.received_bytes:
+        if request.is_stream and request.received_bytes:
             self.counts["broken streams"] += 1
             return None if self.may_break(request) else "broken stream"
         if request.received_bytes or runs or (request.idle_s or 0) <= IDLE_S:
@@ -542,7 +520,7 @@
         return None
 
     def may_break(self, request):
-        return any(stop.ip == request.ip and stop.used_up_grace()
+        return any(stop.ip == request.ip and stop.ended_at - stop.at >= FULL_GRACE_S
                    and request.begun_at <= stop.at + STREAM_START_S
                    and abs(request.ended_at - stop.ended_at) < 1 for stop in self.stops)
 
@@ -562,7 +540,7 @@
         if self.failures:
             lines.append("timeline of seed %d, %.3f is %.3f:" % (
                 self.seed, time.monotonic(), time.time()))
-            lines += ["    " + item for item in self.timeline]
+            lines += self.timeline
         return "\n".join(lines)
 
 
