--- a/testing/planned_soak.py
+++ b/testing/planned_soak.py
@@ -13,19 +13,16 @@
 import dataclasses
 import hashlib
 import json
-import os
 import random
-import re
 import signal
 import socket
 import sys
 import threading
 import time
+import types
 
-sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-
-from caller_stand_in import Answer, Connection, encode  # noqa: E402
-from platform_stand_in import EVENT_COUNT, SEAL, Site, call, wait_until  # noqa: E402
+from caller_stand_in import Answer, Connection, encode
+from platform_stand_in import EVENT_COUNT, SEAL, Site, call, wait_until
 
 GRACE_S = 8
 FULL_GRACE_S = 7.2  # a process that runs so long after SIGTERM has used up its grace
@@ -38,6 +35,18 @@
 FIRST_NETWORK, NETWORKS = 80, 38  # second octets of the addresses
 
 
+def free_network(seed):
+    """Returns a network on which no other site runs."""
+    for number in (seed, seed + NETWORKS // 3, seed + NETWORKS // 2):
+        network = FIRST_NETWORK + number % NETWORKS
+        try:
+            with socket.create_server(("127.%d.1.1" % network, 8229)):
+                return network
+        except OSError:
+            pass
+    raise AssertionError("no network is free")
+
+
 def echo_of(path, identity, body):
     """Returns the body of the answer: the id of the request and a digest of its body."""
     filler = b"x" * LARGE_BYTES if path.endswith("large") else b""
@@ -217,8 +226,7 @@
             request.sent_at = time.monotonic()
 
     def receive(self, batch):
-        connection = self.connection
-        announces_end = False
+        connection, announces_end = self.connection, False
         for request in batch:
             if not connection.is_open:
                 request.is_untaken = announces_end
@@ -234,22 +242,12 @@
             connection.close()
 
 
-@dataclasses.dataclass
-class Stop:
-    """A planned stop of a process."""
-
-    ip: str
-    at: float
-    ended_at: float = None
-
-
 class Soak:
     """One run. `failures` has the texts of what went wrong."""
 
     def __init__(self, seed, seconds, network=None):
         self.seed, self.seconds, self.random = seed, seconds, random.Random("plan %d" % seed)
-        network = network or FIRST_NETWORK + seed % NETWORKS
-        self.site = Site(network, entries=self.random.choice((2, 3)))
+        self.site = Site(network or free_network(seed), entries=self.random.choice((2, 3)))
         self.has_long = self.random.random() < 0.5
         self.failures, self.counts, self.timeline = [], collections.Counter(), []
         self.is_over, self.lock = threading.Event(), threading.Lock()
@@ -267,33 +265,39 @@
 
     def run(self):
         with self.site:
-            self.site.configure(1, draft_fields={"timeoutMs": 15000})
-            for service in ("ledger", "llm", "ledger-next") * 2:
-                self.add_worker(service)
-            fields = {name.replace("_", "-"): value for name, value in MODEL.items()}
-            for number in range(len(self.site.entries)):
-                for path in ("/calls/echo", "/drafts/1"):
-                    wait_until(lambda number=number, path=path: self.site.request(
-                        path, entry=number, headers=fields)[0] == 200, path + " is served")
-            wait_until(lambda: self.site.voters() == 3, "all control VMs vote")
-            begun_at = time.monotonic()
-            # Without long requests processes exit as soon as they are idle.
-            kinds = [name for name, kind in KINDS.items() if self.has_long or not kind.is_long]
-            callers = [Caller(self, name, ip, number) for ip in self.site.entries for name in kinds
-                       for number in range(self.random.choice((0, 1, 1, 2)))]
-            callers.append(threading.Thread(target=self.supervise, daemon=True))
-            for caller in callers:
-                caller.start()
-            self.plan(begun_at)
-            self.is_over.set()
-            for thread in callers:
-                thread.join()
-            for thread in self.tasks:
-                thread.join()
-            time.sleep(3.2)  # workers finish what nobody waits for any more
-            self.check([request for caller in callers[:-1] for request in caller.requests])
+            try:
+                self.play()
+            except AssertionError as problem:
+                self.fail("%s" % problem)
             return self.report()
 
+    def play(self):
+        self.site.configure(1, draft_fields={"timeoutMs": 15000})
+        for service in ("ledger", "llm", "ledger-next") * 2:
+            self.add_worker(service)
+        fields = {name.replace("_", "-"): value for name, value in MODEL.items()}
+        for number in range(len(self.site.entries)):
+            for path in ("/calls/echo", "/drafts/1"):
+                wait_until(lambda number=number, path=path: self.site.request(
+                    path, entry=number, headers=fields)[0] == 200, path + " is served")
+        wait_until(lambda: self.site.voters() == 3, "all control VMs vote")
+        begun_at = time.monotonic()
+        # Without long requests processes exit as soon as they are idle.
+        kinds = [name for name, kind in KINDS.items() if self.has_long or not kind.is_long]
+        callers = [Caller(self, name, ip, number) for ip in self.site.entries for name in kinds
+                   for number in range(self.random.choice((0, 1, 1, 2)))]
+        callers.append(threading.Thread(target=self.supervise, daemon=True))
+        for caller in callers:
+            caller.start()
+        self.plan(begun_at)
+        self.is_over.set()
+        for thread in callers:
+            thread.join()
+        for thread in self.tasks:
+            thread.join()
+        time.sleep(3.2)  # workers finish what nobody waits for any more
+        self.check([request for caller in callers[:-1] for request in caller.requests])
+
     # The planned work.
 
     def plan(self, begun_at):
@@ -322,7 +326,8 @@
     def stop(self, ip):
         with self.lock:
             self.note("SIGTERM " + ip)
-            self.stopping[ip] = Stop(ip, time.monotonic())
+            self.stopping[ip] = types.SimpleNamespace(
+                ip=ip, at=time.monotonic(), ended_at=None)
             self.stops.append(self.stopping[ip])
             self.site.kill(ip, signal.SIGTERM)
 
@@ -479,9 +484,8 @@
 
     def check(self, requests):
         runs = collections.Counter(run[0] for worker in self.site.workers for run in worker.runs)
-        known = {request.identity for request in requests}
-        for identity in runs:
-            if identity not in known and not re.fullmatch(r"r\d+", identity):
+        for identity in set(runs) - {request.identity for request in requests}:
+            if not identity.startswith("r"):  # sent before the soak
                 self.fail("a worker ran what nobody sent", identity=identity)
         for request in requests:
             self.counts["requests"] += 1
@@ -503,8 +507,7 @@
         if answer.status in REFUSALS:
             return "refused and ran" if runs else None
         if answer.status == 200:
-            is_whole = named and answer.body == request.expected_body()
-            return None if is_whole else "answer of another request, or not whole"
+            return None if named and answer.body == request.expected_body() else "another answer"
         if answer.status:
             self.counts["failure %d" % answer.status] += 1
             return None if answer.status in (502, 504) else "proper request denied"
@@ -525,21 +528,17 @@
                    and abs(request.ended_at - stop.ended_at) < 1 for stop in self.stops)
 
     def report(self):
-        """Returns the text of the run."""
         stops = collections.Counter("entries" if stop.ip in self.site.entries else "control VMs"
                                     for stop in self.stops)
         lines = ["seed %d: %d failures, stops %s, versions up to %d, %s" % (
             self.seed, len(self.failures), dict(stops), self.version, dict(sorted(self.counts.items())))]
-        for text, ip, identity in self.failures[:20]:
-            lines.append("FAILED seed %d: %s" % (self.seed, text))
-            lines += ["    %s" % line for line in self.site.log(ip) if identity
-                      and line.get("id") == identity] if ip else []
-        for ip in sorted({ip for _, ip, _ in self.failures[:20] if ip}):
-            lines.append("log of %s, seed %d:" % (ip, self.seed))
-            lines += ["    %s" % line for line in self.site.log(ip) if line.get("kind") == "process"]
+        lines += ["FAILED seed %d: %s" % (self.seed, text) for text, _, _ in self.failures[:20]]
         if self.failures:
-            lines.append("timeline of seed %d, %.3f is %.3f:" % (
-                self.seed, time.monotonic(), time.time()))
+            identities = {identity for _, _, identity in self.failures[:20] if identity}
+            lines += ["log of %s: %s" % (ip, line) for ip in self.site.processes
+                      for line in self.site.log(ip)
+                      if line.get("kind") == "process" or line.get("id") in identities]
+            lines.append("timeline, %.3f is %.3f:" % (time.monotonic(), time.time()))
             lines += self.timeline
         return "\n".join(lines)
 
@@ -547,10 +546,7 @@
 def run_seed(seed, seconds, network=None):
     """Returns whether the run passed, and its text."""
     soak = Soak(seed, seconds, network)
-    try:
-        text = soak.run()
-    except AssertionError as problem:
-        return False, "FAILED seed %d: %s\n%s" % (seed, problem, "\n".join(soak.timeline))
+    text = soak.run()
     return not soak.failures, text
 
 
