Count the idle limit from the last bytes that were sent

Callers saw: an answer on a kept connection that a slow caller received for longer than the idle limit was cut, because the limit counted from the end of the response, not of its sending. A caller that receives nothing for the limit is still closed.

--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -330,7 +331,14 @@
         output_.push_back(std::move(combined));
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(output_.front()),
+    // The idle limit counts from the last bytes that were sent: a slow caller may receive an answer
+    // for longer than that.
+    const auto recordProgress = [self = shared_from_this()](const error_code &error,
+                                                            std::size_t count) {
+        self->idleSince_ = std::chrono::steady_clock::now();
+        return asio::transfer_all()(error, count);
+    };
+    asio::async_write(socket_, asio::buffer(output_.front()), recordProgress,
                       [self = shared_from_this()](const error_code &error, std::size_t count) {
                           self->writing_ = false;
                           if (error) {
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -160,7 +160,7 @@
     ReadableWait readableWait_;
     std::unique_ptr<Parser> parser_;
     std::string input_; // received bytes that are not parsed yet
-    std::chrono::steady_clock::time_point idleSince_{}; // start, or end of the last response
+    std::chrono::steady_clock::time_point idleSince_{}; // start, or last bytes sent
     std::deque<std::string> output_; // the first element is being written
     std::size_t unsentBytes_ = 0; // sum of the sizes in output_
     std::function<void()> disconnectHandler_;
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -636,3 +636,32 @@
     std::this_thread::sleep_for(300ms);
     BOOST_TEST(statusOfResponse(caller) == 200U);
 }
+
+// Guards against answers that are cut because a slow caller receives them for longer than the idle
+// limit.
+BOOST_FIXTURE_TEST_CASE(idle_limit_does_not_cut_an_answer_that_is_received_slowly,
+                        HttpSessionFixture)
+{
+    SessionLimits limits;
+    limits.idleTimeout = 2000ms;
+    const std::string address = startServer(limits);
+    const std::string body(32U << 20U, 'x');
+    group->handler = [&](const std::shared_ptr<ServerSession> &session,
+                         const HttpRequestMessage &) {
+        session->respond({200, {}, body});
+    };
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    std::string piece(8U << 20U, '\0');
+    for (std::size_t received = 0; received < body.size(); received += piece.size()) {
+        std::optional<boost::system::error_code> result;
+        boost::asio::async_read(
+                caller, boost::asio::buffer(piece),
+                [&](const boost::system::error_code &error, std::size_t) { result = error; });
+        runUntil([&] { return result.has_value(); });
+        BOOST_REQUIRE(!*result);
+        io.restart();
+        io.run_for(600ms);
+    }
+}
