--- a/app/process_stop.cpp
+++ b/app/process_stop.cpp
@@ -99,7 +99,7 @@
     const net::SessionCounts &counts = group_->counts;
     return fmt::format("fireflyroute_stop_requests_total {}\n"
                        "fireflyroute_stop_connections_closed_idle_total {}\n"
-                       "fireflyroute_stop_requests_last_calls_total {}\n",
+                       "fireflyroute_stop_last_calls_total {}\n",
                        counts.requests - countsAtBegin_.requests,
                        counts.closedIdle - countsAtBegin_.closedIdle,
                        counts.lastCalls - countsAtBegin_.lastCalls);
