--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -360,7 +360,7 @@
         self.entries = ["127.%d.2.%d" % (network, i + 1) for i in range(entries)]
         self.network, self.processes, self.workers = network, {}, []
         self.requests = 0
-        self.seeds = self.control[:3]
+        self.seeds = None  # the first control VMs, unless others are set
         # The retry budget must suffice for a few requests, most of which fail once.
         self.more_flags = {"site_retry_ratio": "9"}
         self.cuts = {}  # entries that are cut off from the workers: "reset" or "silent"
@@ -387,7 +387,8 @@
         """Replaces the settings file of a process, which may read it at any time. Returns its path."""
         flags = {"site_vm_ip": ip, "site_data_centre": "a", "site_regions": "a=r",
                  "site_link_port": "7340", "site_first_start": str(first_start).lower(),
-                 "site_seeds": ",".join(item + ":8229" for item in self.seeds), **self.more_flags}
+                 "site_seeds": ",".join(item + ":8229" for item in self.seeds or self.control[:3]),
+                 **self.more_flags}
         if ip in self.control:
             flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip))
         else:
