Don't exit in the turn in which a listener has closed

A stopping listener closes 50 ms after it keeps new connections out, and the next step of the stop is due at the same time. A connection that was accepted just before is passed on after both: the step saw no listener and no connection, ordered the exit, and the exit cut the request on it. Introduced with the later close of the listener. Now the step after the close counts a connection that may still come.

The model of the stop had not followed that change, nor the count of what was read only. With both in the model the explorer finds the fault in the code before: a request that was passed on is cut, within its smallest bounds.

--- a/app/process_stop.cpp
+++ b/app/process_stop.cpp
@@ -55,8 +55,10 @@
     const core::Instant now = clock_.now();
     const core::StopPhase before = sequence_.phase();
     const net::SessionLoad held = net::loadOf(*group_);
-    // Until the listener has closed, there may be a connection that isn't accepted yet.
-    const std::size_t connections = held.connections + (net::isAccepting(*group_) ? 1 : 0);
+    // A connection that was accepted just before the listener closed may be passed on after that,
+    // but before the next step.
+    const bool mayGainConnection = std::exchange(wasAccepting_, net::isAccepting(*group_));
+    const std::size_t connections = held.connections + (mayGainConnection ? 1 : 0);
     const core::StopLoad load{held.requests, connections, countTunnels_()};
     const core::StopPhase phase = sequence_.step(now, load);
     if (phase != before)
--- a/app/process_stop.h
+++ b/app/process_stop.h
@@ -1,5 +1,5 @@
 // Carries out the planned stop of a process (core/stop_sequence.h) on the thread that serves its
-// sessions, so that nothing is read between the decision to exit and the end of the last session.
+// sessions, so that no request is read after the decision to exit: no session is left by then.
 //
 //   ProcessStop stop(io, sequence, log);
 //   stop.begin(group, countTunnels, [] { ... }); // runs once, when the process is to exit
@@ -47,6 +47,7 @@
     std::function<std::size_t()> countTunnels_;
     std::function<void()> onEnded_;
     net::SessionCounts countsAtBegin_;
+    bool wasAccepting_ = true; // at the last step
 };
 
 } // namespace fireflyroute::app
--- a/core/testing/stop_model.h
+++ b/core/testing/stop_model.h
@@ -67,6 +67,7 @@
     EndWaitForClose,
     Signal,
     StepStop,
+    CloseListener,
     Exit,
     PassTime,
 };
@@ -89,6 +90,7 @@
             EnumName{StopMove::EndWaitForClose, "the time for the caller's close ends"},
             EnumName{StopMove::Signal, "the stop is requested"},
             EnumName{StopMove::StepStop, "the stop's timer runs"},
+            EnumName{StopMove::CloseListener, "the listener closes"},
             EnumName{StopMove::Exit, "the control thread exits"},
             EnumName{StopMove::PassTime, "a tick passes"},
     };
@@ -189,17 +191,20 @@
         for (const ModelConnection &connection : connections) {
             if (connection.stage != ModelStage::Open)
                 continue;
-            const bool hasRequest =
-                    connection.requestActive || connection.writing || connection.hasUnreadRequest();
+            const bool hasReadPart = connection.hasUnreadRequest() && connection.inputParts != 0;
+            const bool hasRequest = connection.requestActive || connection.writing || hasReadPart;
             sum.requests += hasRequest ? 1U : 0U;
             ++sum.connections;
         }
         return sum;
     }
 
+    // Handshakes that have begun may end until the listener closes, in a turn of its own.
+    void stopAccepting() { isStoppingToListen = true; }
+
     // The queue is accepted in one turn, in which no connection is added. An accept that the
     // reactor has completed is passed on in a later turn.
-    void stopAccepting()
+    void closeListener()
     {
         isListening = false;
         for (ModelConnection &connection : connections) {
@@ -273,7 +278,8 @@
 
     const ModelBounds bounds;
     std::array<ModelConnection, kMaxModelCallers> connections;
-    bool isListening = true;
+    bool isListening = true; // until the listener has closed
+    bool isStoppingToListen = false;
     bool announcesEnd = false;
     std::optional<StopViolation> violation; // the first one
 };
@@ -313,7 +319,9 @@
 
     bool step(ModelSessions &sessions, Instant now)
     {
-        const StopPhase phase = sequence_.step(now, sessions.load());
+        StopLoad load = sessions.load();
+        load.connections += std::exchange(wasAccepting_, sessions.isListening) ? 1 : 0;
+        const StopPhase phase = sequence_.step(now, load);
         if (phase == StopPhase::Ended)
             return true;
         if (phase == StopPhase::Closing) {
@@ -328,11 +336,13 @@
     [[nodiscard]] bool takesRequests(Instant now) const { return sequence_.takesRequests(now); }
     [[nodiscard]] std::uint8_t state() const
     {
-        return static_cast<std::uint8_t>(sequence_.phase());
+        return static_cast<std::uint8_t>(2 * static_cast<int>(sequence_.phase())
+                                         + (wasAccepting_ ? 1 : 0));
     }
 
 private:
     StopSequence sequence_{kModelLimits};
+    bool wasAccepting_ = true; // at the last step
 };
 
 template<StopProcedure Procedure>
@@ -378,6 +388,11 @@
             return signal();
         case StopMove::StepStop:
             return stepStop();
+        case StopMove::CloseListener:
+            if (!sessions_.isStoppingToListen || !sessions_.isListening)
+                return false;
+            sessions_.closeListener();
+            return true;
         case StopMove::Exit:
             return exit();
         default:
@@ -390,14 +405,15 @@
         Key key;
         key.connections = sessions_.connections;
         std::sort(key.connections.begin(), key.connections.end());
-        key.rest = {procedure_.state(),
-                    ticks_,
-                    sessions_.isListening,
-                    isStopping_,
-                    hasStepped_,
-                    exitOrderedAt_ ? *exitOrderedAt_ : kNever,
-                    hasExited_,
-                    sessions_.announcesEnd};
+        key.rest = {
+                procedure_.state(),
+                ticks_,
+                static_cast<std::uint8_t>(sessions_.isListening + 2 * sessions_.isStoppingToListen),
+                isStopping_,
+                hasStepped_,
+                exitOrderedAt_ ? *exitOrderedAt_ : kNever,
+                hasExited_,
+                sessions_.announcesEnd};
         return key;
     }
 
