--- a/core/stop_sequence.h
+++ b/core/stop_sequence.h
@@ -6,8 +6,8 @@
 //   stop.begin(now);
 //   if (stop.step(now, load) == StopPhase::Closing) ...
 //
-// The order of the phases is what keeps requests from being lost: nothing is closed without notice
-// while requests are taken, and the exit comes only after no connection is left on which one could
+// The order of the phases is what keeps requests from being lost: no connection in use is closed
+// without notice, and the exit comes only after no connection is left on which a request could
 // arrive, or when the time is used up.
 
 #ifndef FIREFLYROUTE_CORE_STOP_SEQUENCE_H
@@ -53,8 +53,8 @@
 // What the connections of a stopping process hold.
 struct StopLoad
 {
-    std::size_t requests = 0; // of which any part has arrived and that are not answered
-    std::size_t connections = 0; // not closed, whether they have a request or not
+    std::size_t requests = 0; // of which any part was read and that are not answered
+    std::size_t connections = 0; // not closed, or that may still be accepted
     std::size_t tunnels = 0; // of other processes
 };
 
