Bound the bytes of a request that belong to neither head nor body

Callers could make an entry keep everything that they sent as the line before a chunk, as its extension or as trailers: ServerSession appended received bytes to a buffer until Boost.Beast could parse them, and Beast parses such a line, and all trailers, only when they are complete. Beast's limits cover heads and bodies only.

RequestReader holds the parser and the bytes that are not parsed yet, without input or output, and rejects with 431 what exceeds the limit of the head. A rejected request releases its memory at once.

--- a/app/site_process.h
+++ b/app/site_process.h
@@ -234,8 +234,9 @@
         const auto toMillis = [](core::Duration duration) {
             return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
         };
-        callerSessions_->limits = {limits.headerBytes, limits.bodyBytes,
-                                   toMillis(limits.headerTimeout), toMillis(limits.idleTimeout)};
+        callerSessions_->limits = {{limits.headerBytes, limits.bodyBytes},
+                                   toMillis(limits.headerTimeout),
+                                   toMillis(limits.idleTimeout)};
         plane_.notifyChanged();
     }
 
--- /dev/null
+++ b/app/testing/hostile_client_test.py
@@ -0,0 +1,175 @@
+"""Process tests of clients that ignore the limits: an entry and control VMs over loopback, with a small
+crowd of such clients and the settings of a small VM.
+
+Each test checks what doesn't depend on the machine's speed: the process lives, its memory and open
+descriptors stay under a bound, and one ordinary request is answered afterwards, while the crowd is still
+connected. Guards against clients that end a process because it runs out of memory or descriptors.
+"""
+
+import contextlib
+import os
+import socket
+import sys
+import threading
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
+
+from platform_stand_in import Site, wait_until  # noqa: E402
+
+MB = 1 << 20
+MEMORY_MB = 64  # of each VM
+CROWD = 24  # connections
+BODY_BYTES = 4 * MB  # the longest legal body
+FLOOD_BYTES = 8 * MB  # sent by each client that knows no end
+MAX_FILES = 128  # open descriptors of a process
+SEND_TIMEOUT_S = 2  # of a client whose bytes aren't read
+
+
+class Client:
+    """A connection that sends bytes until it is refused, and then stays open."""
+
+    def __init__(self, address, parts):
+        self.socket = socket.socket()
+        self.address, self.parts = address, parts
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        try:
+            self.socket.settimeout(SEND_TIMEOUT_S)
+            self.socket.connect(self.address)
+            for part in self.parts:
+                self.socket.sendall(part)
+        except OSError:
+            pass  # refused, closed or not read
+
+
+def head(framing, path="/calls/hostile", host="desk.example"):
+    return ("POST %s HTTP/1.1\r\nHost: %s\r\nFireflyroute-Request-Id: hostile\r\n"
+            "Authorization: Token k1\r\nFireflyroute-Deadline-Ms: 6000\r\n%s\r\n\r\n"
+            % (path, host, framing)).encode()
+
+
+LENGTH = "Content-Length: %d"
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+def chunk(size):
+    return b"%x\r\n%s\r\n" % (size, b"b" * size)
+
+
+def repeated(piece, total):
+    for _ in range(total // len(piece)):
+        yield piece
+
+
+def trailer_lines():
+    yield head(CHUNKED) + b"5\r\nhello\r\n0\r\n"
+    yield from repeated(b"X-Filler: %s\r\n" % (b"t" * 1000) * 16, FLOOD_BYTES)
+
+
+def one_trailer():
+    yield head(CHUNKED) + b"5\r\nhello\r\n0\r\nX-Filler: "
+    yield from repeated(b"t" * 16384, FLOOD_BYTES)
+
+
+def chunk_extension():
+    yield head(CHUNKED) + b"5;"
+    yield from repeated(b"e" * 16384, FLOOD_BYTES)
+
+
+def announced_flood():
+    yield head(LENGTH % (8 << 30))
+    yield from repeated(b"b" * 16384, FLOOD_BYTES)
+
+
+def whole_body():
+    yield head(LENGTH % BODY_BYTES)
+    yield from repeated(b"b" * 16384, BODY_BYTES)
+
+
+def whole_chunked_body():
+    yield head(CHUNKED)
+    yield from repeated(chunk(16384), BODY_BYTES)
+    yield b"0\r\n\r\n"
+
+
+def endless_head():
+    yield b"GET /calls/1 HTTP/1.1\r\n"
+    yield from repeated(b"X-Filler: %s\r\n" % (b"h" * 1000) * 16, FLOOD_BYTES)
+
+
+class HostileClientTest(unittest.TestCase):
+    @contextlib.contextmanager
+    def site(self, network, limits=None, **options):
+        site = Site(network)
+        site.memory_mb = MEMORY_MB
+        with site:
+            site.configure(1, change=lambda config: config.update(limits=limits or {}))
+            site.worker("i-1", "ledger", **options)
+            site.wait_until_served("/calls/1")
+            yield site
+
+    @contextlib.contextmanager
+    def crowd(self, address, size, make_parts):
+        """Connects the clients and waits until each has sent all of its bytes, or is refused or not read."""
+        clients = [Client(address, make_parts()) for _ in range(size)]
+        try:
+            for client in clients:
+                client.thread.join()
+            yield
+        finally:
+            for client in clients:
+                client.socket.close()
+
+    def open_files(self, site, ip):
+        return len(os.listdir("/proc/%d/fd" % site.processes[ip].pid))
+
+    def assert_bounded(self, site, ip):
+        self.assertIsNone(site.processes[ip].poll(), "the process has ended")
+        self.assertLess(site.peak_bytes(ip), MEMORY_MB * MB)
+        self.assertLess(self.open_files(site, ip), MAX_FILES)
+
+    def assert_served(self, site, path="/calls/1"):
+        def is_served():
+            with contextlib.suppress(OSError):
+                return site.request(path)[0] == 200
+
+        wait_until(is_served, "an ordinary request is answered")
+
+    def attack_entry(self, network, make_parts, **options):
+        with self.site(network, **options) as site:
+            entry = site.entries[0]
+            with self.crowd((entry, 8227), CROWD, make_parts):
+                self.assert_bounded(site, entry)
+                self.assert_served(site)
+                self.assert_bounded(site, entry)
+
+    def test_trailer_lines_without_end(self):
+        self.attack_entry(61, trailer_lines)
+
+    def test_one_trailer_without_end(self):
+        self.attack_entry(62, one_trailer)
+
+    def test_chunk_extension_without_end(self):
+        self.attack_entry(63, chunk_extension)
+
+    def test_announced_bodies_over_the_limit(self):
+        self.attack_entry(65, announced_flood)
+
+    def test_heads_without_end(self):
+        self.attack_entry(66, endless_head)
+
+    # A request inside the limits is served in calm, also the largest one.
+    def test_largest_legal_request_is_served(self):
+        for framing in (whole_body, whole_chunked_body):
+            with self.site(74) as site, socket.create_connection((site.entries[0], 8227)) as client:
+                client.settimeout(20)
+                for part in framing():
+                    client.sendall(part)
+                self.assertTrue(client.recv(12).startswith(b"HTTP/1.1 200"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 #include <utility>
 #include <vector>
@@ -17,7 +15,6 @@
 namespace fireflyroute::net {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
@@ -28,19 +25,7 @@
 // Time that the caller has to read the last response and to close its side.
 constexpr std::chrono::milliseconds kCloseTimeout{1000};
 
-constexpr unsigned kStatusBadRequest = 400;
 constexpr unsigned kStatusRequestTimeout = 408;
-constexpr unsigned kStatusBodyTooLarge = 413;
-constexpr unsigned kStatusHeaderTooLarge = 431;
-
-unsigned statusOf(const error_code &error)
-{
-    if (error == http::error::header_limit || error == http::error::buffer_overflow)
-        return kStatusHeaderTooLarge;
-    if (error == http::error::body_limit)
-        return kStatusBodyTooLarge;
-    return kStatusBadRequest;
-}
 
 // Calls `step` with each session. A step may end a session and thereby remove it from the group.
 template<typename Step>
@@ -56,29 +41,10 @@
 
 } // namespace
 
-struct ServerSession::Parser
-{
-    Parser() { parser.eager(true); }
-
-    // The limits in force hold for a request until its head is complete.
-    void setLimits(const SessionLimits &limits)
-    {
-        if (parser.is_header_done())
-            return;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
-    }
-
-    http::request_parser<http::string_body> parser;
-    bool requestStarted = false; // bytes of this request have been received
-    bool continueSent = false; // 100 Continue was sent
-};
-
 ServerSession::ServerSession(tcp::socket socket, std::shared_ptr<SessionGroup> group)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
     , group_(std::move(group))
-    , parser_(std::make_unique<Parser>())
 {
     group_->sessions.insert(this);
 }
@@ -101,7 +67,7 @@
 // the caller while a response is in progress.
 void ServerSession::awaitReadable()
 {
-    if (!open_ || (requestActive_ && !input_.empty()))
+    if (!open_ || (requestActive_ && reader_.hasInput()))
         return;
     readableWait_.start(socket_, [self = shared_from_this()] {
         if (self->open_)
@@ -129,8 +95,7 @@
         close();
         return;
     }
-    input_.append(buffer.data(), count);
-    parse();
+    parse({buffer.data(), count});
 }
 
 // Bytes of the next request stay in the kernel until the current response has been sent.
@@ -145,38 +110,24 @@
         handleDisconnect();
 }
 
-void ServerSession::parse()
+void ServerSession::parse(std::string_view bytes)
 {
-    Parser &state = *parser_;
-    if (!state.requestStarted && !input_.empty()) {
-        state.requestStarted = true;
+    const ReadState state = reader_.push(bytes, group_->limits);
+    if (reader_.hasBegun() && !std::exchange(requestStarted_, true))
         armTimer(group_->limits.headerTimeout);
-    }
-    state.setLimits(group_->limits);
-    error_code error;
-    const std::size_t consumed = state.parser.put(asio::buffer(input_), error);
-    input_.erase(0, consumed);
-    if (error && error != http::error::need_more) {
-        reject(statusOf(error));
+    switch (state) {
+    case ReadState::Rejected:
+        reject(reader_.rejectStatus());
         return;
-    }
-    if (state.parser.is_done()) {
+    case ReadState::Complete:
         dispatch();
         return;
+    case ReadState::Incomplete:
+        break;
     }
-    if (!state.parser.is_header_done() && input_.size() > group_->limits.headerBytes) {
-        reject(kStatusHeaderTooLarge);
-        return;
-    }
-    const bool expectsContinue =
-            state.parser.is_header_done() && !state.continueSent
-            && equalFieldNames(std::string(state.parser.get()[http::field::expect]),
-                               "100-continue");
-    if (expectsContinue) {
-        state.continueSent = true;
+    if (reader_.takeExpectsContinue())
         send("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    if (state.parser.is_header_done())
+    if (reader_.isHeadComplete())
         armTimer(group_->limits.idleTimeout);
     awaitReadable();
 }
@@ -184,28 +135,21 @@
 void ServerSession::dispatch()
 {
     timer_.cancel();
-    http::request<http::string_body> message = parser_->parser.release();
-    HttpRequestMessage request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.fields.reserve(16);
-    for (const auto &field : message)
-        request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    request.body = std::move(message.body());
-    keepAlive_ = message.keep_alive();
+    HttpRequestMessage request = reader_.take();
+    keepAlive_ = reader_.keepsAlive();
     omitBody_ = request.method == "HEAD";
     requestActive_ = true;
+    requestStarted_ = false;
     wasUsed_ = true;
     ++group_->counts.requests;
-    parser_ = std::make_unique<Parser>();
-    if (input_.empty())
-        input_.shrink_to_fit();
     awaitReadable();
     group_->handler(shared_from_this(), std::move(request));
 }
 
 void ServerSession::reject(unsigned status)
 {
+    reader_.clear();
+    requestStarted_ = false;
     requestActive_ = true;
     keepAlive_ = false;
     respond({status, {}, {}});
@@ -298,13 +242,13 @@
         return;
     idleSince_ = std::chrono::steady_clock::now();
     armTimer(group_->limits.idleTimeout);
-    if (input_.empty()) {
+    if (!reader_.hasInput()) {
         awaitReadable();
         return;
     }
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
         if (self->open_ && !self->requestActive_ && !self->closeAfterWrite_)
-            self->parse();
+            self->parse({});
     });
 }
 
@@ -362,7 +306,7 @@
 void ServerSession::awaitClose()
 {
     awaitsClose_ = true;
-    input_.clear();
+    reader_.clear();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     armTimer(kCloseTimeout);
@@ -383,8 +327,7 @@
 // Whether part of a request was read that is not passed to the handler yet.
 bool ServerSession::hasReadPart() const
 {
-    return open_ && !requestActive_ && !closeAfterWrite_
-           && (!input_.empty() || parser_->requestStarted);
+    return open_ && !requestActive_ && !closeAfterWrite_ && reader_.hasBegun();
 }
 
 bool ServerSession::hasUnreadRequest() const
@@ -455,7 +398,7 @@
         close();
         return;
     }
-    if (parser_->requestStarted) {
+    if (requestStarted_) {
         reject(kStatusRequestTimeout);
         armTimer(kCloseTimeout);
         return;
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -19,6 +19,7 @@
 
 #include "net/errors.h"
 #include "net/http_message.h"
+#include "net/request_reader.h"
 #include "net/socket_steps.h"
 #include "net/tcp_acceptor.h"
 
@@ -32,15 +33,15 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 
 namespace fireflyroute::net {
 
 // Limits of requests and time-outs. Shared by all sessions of a listener and may be replaced while
 // they run.
-struct SessionLimits
+struct SessionLimits : RequestLimits
 {
-    std::uint32_t headerBytes = 16U << 10U;
-    std::uint32_t bodyBytes = 4U << 20U;
     std::chrono::milliseconds headerTimeout{3000};
     std::chrono::milliseconds idleTimeout{15000};
 };
@@ -133,14 +134,12 @@
     [[nodiscard]] std::size_t unsentBytesOfGroup() const { return group_->unsentBytes; }
 
 private:
-    struct Parser;
-
     static constexpr std::size_t kMaxUnsentBytes = 64U << 10U;
 
     void awaitReadable();
     void onReadable();
     void checkForDisconnect();
-    void parse();
+    void parse(std::string_view bytes);
     void dispatch();
     void reject(unsigned status);
     void handleDisconnect();
@@ -158,14 +157,14 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<SessionGroup> group_;
     ReadableWait readableWait_;
-    std::unique_ptr<Parser> parser_;
-    std::string input_; // received bytes that are not parsed yet
+    RequestReader reader_;
     std::chrono::steady_clock::time_point idleSince_{}; // start, or last bytes sent
     std::deque<std::string> output_; // the first element is being written
     std::size_t unsentBytes_ = 0; // sum of the sizes in output_
     std::function<void()> disconnectHandler_;
     std::function<void()> lastCallHandler_;
     std::function<void()> drainedHandler_;
+    bool requestStarted_ = false; // a part of the current request was read
     bool requestActive_ = false; // the handler has a request without a complete response
     bool wasUsed_ = false; // a request has been passed to the handler
     bool streaming_ = false; // the streamed response has begun
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -22,7 +23,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "scripts"))
 
-from local_fleet import BINARY, wait_until  # noqa: E402
+from local_fleet import BINARY, ROOT, wait_until  # noqa: E402
 
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENT_COUNT = 12  # events of each stream
@@ -363,6 +364,7 @@
         self.seeds = None  # the first control VMs, unless others are set
         # The retry budget must suffice for a few requests, most of which fail once.
         self.more_flags = {"site_retry_ratio": "9"}
+        self.memory_mb = None  # of each VM, as the platform's settings tell it
         self.cuts = {}  # entries that are cut off from the workers: "reset" or "silent"
         self.cut_over = threading.Event()
 
@@ -383,12 +385,20 @@
                 process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def memory_flags(self):
+        """Returns the flags that the deployment's settings file renders from the memory of a VM."""
+        if self.memory_mb is None:
+            return {}
+        with open(os.path.join(ROOT, "deploy", "site.flags"), encoding="utf-8") as file:
+            names = re.findall(r"--(\w+)=\{\{limits\.memoryMb\}\}", file.read())
+        return {name: str(self.memory_mb) for name in names}
+
     def write_settings(self, ip, first_start=False):
         """Replaces the settings file of a process, which may read it at any time. Returns its path."""
         flags = {"site_vm_ip": ip, "site_data_centre": "a", "site_regions": "a=r",
                  "site_link_port": "7340", "site_first_start": str(first_start).lower(),
                  "site_seeds": ",".join(item + ":8229" for item in self.seeds or self.control[:3]),
-                 **self.more_flags}
+                 **self.memory_flags(), **self.more_flags}
         if ip in self.control:
             flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip))
         else:
@@ -400,13 +410,16 @@
         os.replace(path + ".new", path)
         return path
 
-    def start(self, ip, first_start=False):
+    def start(self, ip, first_start=False, max_files=None):
+        """`max_files`: limit of the process's open descriptors."""
         role = "control" if ip in self.control else "entry"
         path = self.write_settings(ip, first_start)
         with open(os.path.join(self.folder, ip + ".log"), "a", encoding="utf-8") as log:
             self.processes[ip] = subprocess.Popen(
                 [BINARY, "site", "--site_role=" + role], stdout=log,
-                env=dict(os.environ, FIREFLYROUTE_CONFIG=path))
+                env=dict(os.environ, FIREFLYROUTE_CONFIG=path),
+                preexec_fn=max_files and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE,
+                                                                     (max_files, max_files))))
 
     def kill(self, ip, signal_number=signal.SIGKILL):
         self.processes[ip].send_signal(signal_number)
