Bound what all callers together can make a process hold

Each connection had limits, the process had none: many bodies of legal size at once, whole or stopping short of their end, ended a process for lack of memory. Each body was also held two to three times while it was sent.

ByteBudget (core, no input or output) grants the bytes of a request before they are read: a large body as a whole, so that it can arrive in full, with a reserved part for ordinary requests. While bytes are short, the largest connection without progress gives way: 408 for a part of a request, a close for an answer that is not read. Requests that were passed on never give way. All attempts of a request share its body. Control VMs bound their calls in the same way.

The code of sessions is split by reading, responding, closing and the state of their group.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -151,7 +151,8 @@
 
     TrafficPlane &plane_;
     std::shared_ptr<net::ServerSession> session_;
-    net::HttpRequestMessage request_;
+    net::HttpRequestMessage request_; // without its body
+    const std::shared_ptr<const std::string> body_; // never null
     core::RequestMeta meta_;
     std::shared_ptr<const core::SiteTable> table_; // owns *route_ and *account_
     const core::Route *route_ = nullptr;
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -83,6 +83,7 @@
     : plane_(plane)
     , session_(std::move(session))
     , request_(std::move(request))
+    , body_(std::make_shared<const std::string>(std::move(request_.body)))
     , meta_(Dialect::decodeRequest(request_))
     , timer_(plane.io)
     , arrivedAt_(plane.clock.now())
@@ -186,7 +187,7 @@
 std::vector<core::RequestTrait> ProxyRequest<Dialect>::traits() const
 {
     return core::traitsOf(meta_.prompt, account_ ? account_->id : core::ClientAccountId(),
-                          request_.target, request_.body);
+                          request_.target, *body_);
 }
 
 template<TrafficDialect Dialect>
@@ -273,7 +274,7 @@
 core::PickRequest ProxyRequest<Dialect>::makePickRequest(std::size_t model) const
 {
     core::PickRequest query;
-    query.bytes = static_cast<double>(request_.body.size())
+    query.bytes = static_cast<double>(body_->size())
                   + proxy::kStreamBytesPerToken * meta_.maxOutputTokens;
     query.draw = core::hashText(meta_.id.value()) + attemptTracker_.attemptCount()
                  + excludedEndpoints_.size();
@@ -323,8 +324,9 @@
     plane_.pins.recordStart(meta_.session, endpoint.version, now);
     const core::Dispatch dispatch = makeDispatch(endpoint, now);
     armTimer();
-    exchange->connection->send(net::encodeRequest(Dialect::encodeDispatch(request_, dispatch)),
-                               handlers(), exchange->connectTimeout);
+    const net::HttpRequestMessage dispatched = Dialect::encodeDispatch(request_, dispatch);
+    exchange->connection->send(net::encodeRequest(dispatched, body_), handlers(),
+                               exchange->connectTimeout);
 }
 
 template<TrafficDialect Dialect>
@@ -498,6 +500,7 @@
     }
     attempt_->body += piece;
     plane_.bufferedBytes += piece.size();
+    session_->setBufferedBytes(attempt_->body.size());
     if (isTooLarge())
         failAttempt(core::AttemptOutcome::Discarded, "answer too large", false);
 }
@@ -506,6 +509,7 @@
 std::string ProxyRequest<Dialect>::takeBody()
 {
     plane_.bufferedBytes -= attempt_->body.size();
+    session_->setBufferedBytes(0);
     return std::exchange(attempt_->body, {});
 }
 
--- a/app/site_process.cpp
+++ b/app/site_process.cpp
@@ -1,16 +1,58 @@
-// Metrics endpoint of a site's processes.
+// Metrics endpoint of a site's processes, and the bounds of their listeners.
 
 #include "app/site_process.h"
 
 namespace fireflyroute::app {
 
+namespace {
+
+constexpr std::size_t kProbeHeldBytes = std::size_t(4) << 20U;
+
+// Of readiness probes and scrapes, which have no body to speak of.
+constexpr net::RequestLimits kProbeLimits{16U << 10U, 16U << 10U};
+
+} // namespace
+
+net::GroupLimits callerBounds(const SiteSettings &settings)
+{
+    net::GroupLimits bounds;
+    bounds.held.totalBytes = settings.heldBytes;
+    return bounds;
+}
+
+net::GroupLimits probeBounds()
+{
+    net::GroupLimits bounds;
+    bounds.held.totalBytes = kProbeHeldBytes;
+    return bounds;
+}
+
+net::SessionLimits probeLimits()
+{
+    return {kProbeLimits};
+}
+
+void logClosings(net::SessionGroup &group, StructuredLog &log)
+{
+    group.onClosedForOthers = [&group, &log](const net::ClosedSession &closed) {
+        LogLine(log, LogKind::Connection)
+                .add("reason", core::nameOf(closed.reason))
+                .add("bytes", static_cast<std::int64_t>(closed.bytes))
+                .add("quiet_ms", closed.sinceProgress.count())
+                .add("held_bytes", static_cast<std::int64_t>(group.budget.usedBytes()))
+                .add("limit_bytes", static_cast<std::int64_t>(group.bounds.held.totalBytes))
+                .add("connections", static_cast<std::int64_t>(group.sessions.size()))
+                .add("waiting", static_cast<std::int64_t>(group.waiting.size()));
+    };
+}
+
 Result<void> serveMetrics(boost::asio::io_context &io, const std::string &address,
                           std::function<void(std::function<void(std::string)>)> render)
 {
     if (address.empty())
         return core::outcome::success();
     const auto sessions = net::acceptSessions(
-            io, address, net::SessionLimits{},
+            io, address, probeLimits(),
             [render = std::move(render)](const std::shared_ptr<net::ServerSession> &session,
                                          const net::HttpRequestMessage &request) {
                 if (request.target != "/metrics") {
@@ -20,7 +62,8 @@
                 render([session](std::string text) {
                     session->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, text});
                 });
-            });
+            },
+            probeBounds());
     if (!sessions)
         return fromNet(sessions.error());
     return core::outcome::success();
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -57,6 +57,16 @@
 serveMetrics(boost::asio::io_context &io, const std::string &address,
              std::function<void(std::function<void(std::string)>)> render);
 
+// What the connections of callers of an entry, or of control calls, may hold together.
+[[nodiscard]] net::GroupLimits callerBounds(const SiteSettings &settings);
+
+// Limits of readiness probes and scrapes.
+[[nodiscard]] net::GroupLimits probeBounds();
+[[nodiscard]] net::SessionLimits probeLimits();
+
+// Logs the connections of the group that are closed for the sake of others.
+void logClosings(net::SessionGroup &group, StructuredLog &log);
+
 // An entry. Caller traffic runs on the traffic thread, everything else on the control thread.
 template<SiteDialect Dialect>
 class EntryProcess
@@ -65,6 +75,7 @@
     EntryProcess(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log)
         : io_(io)
         , settings_(settings)
+        , log_(log)
         , workGuard_(boost::asio::make_work_guard(trafficIo_))
         , plane_(trafficIo_, settings, log)
         , entry_(io, settings, log, decodeConfig, outputs())
@@ -83,23 +94,26 @@
                        net::HttpRequestMessage request) {
                     std::make_shared<ProxyRequest<Dialect>>(plane_, session, std::move(request))
                             ->start();
-                });
+                },
+                callerBounds(settings_));
         if (!callers)
             return fromNet(callers.error());
         callerSessions_ = callers.value();
+        logClosings(*callerSessions_, log_);
         BOOST_OUTCOME_TRYV(acceptRelaying());
         const auto readiness = net::acceptSessions(
-                io_, settings_.readinessAddress, net::SessionLimits{},
+                io_, settings_.readinessAddress, probeLimits(),
                 [this](const std::shared_ptr<net::ServerSession> &session,
                        const net::HttpRequestMessage &request) {
                     session->respond(Dialect::answerReadiness(
                             request, !stopping_ && hasPath_ && entry_.isReady()));
-                });
+                },
+                probeBounds());
         if (!readiness)
             return fromNet(readiness.error());
         BOOST_OUTCOME_TRYV(serveMetrics(io_, settings_.metricsAddress, [this](const auto &done) {
             boost::asio::post(trafficIo_, [this, done] {
-                boost::asio::post(io_, [this, done, text = plane_.metrics() + stop_.metrics()] {
+                boost::asio::post(io_, [this, done, text = trafficMetrics()] {
                     done(entry_.metrics() + text);
                 });
             });
@@ -191,6 +205,12 @@
         return core::outcome::success();
     }
 
+    [[nodiscard]] std::string trafficMetrics() const
+    {
+        return plane_.metrics() + stop_.metrics()
+               + net::metricsOf(*callerSessions_, "fireflyroute_entry_caller");
+    }
+
     // Periodically checks the path to the endpoints. `hadPath`: result of the last check.
     void checkPath(bool hadPath)
     {
@@ -272,6 +292,7 @@
 
     boost::asio::io_context &io_; // control thread
     const SiteSettings settings_;
+    StructuredLog &log_;
     BootClock clock_;
     boost::asio::io_context trafficIo_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard_;
@@ -311,9 +332,12 @@
         const auto callSessions = net::acceptSessions(
                 io_, settings_.controlAddress, net::SessionLimits{},
                 [this](const std::shared_ptr<net::ServerSession> &session,
-                       const net::HttpRequestMessage &request) {
+                       net::HttpRequestMessage message) {
+                    // Shared: a body may be as large as all of the limits allow.
+                    const auto request =
+                            std::make_shared<const net::HttpRequestMessage>(std::move(message));
                     const auto answer = [session, request](const core::ControlAnswer &result) {
-                        session->respond(Dialect::encodeControlAnswer(request, result));
+                        session->respond(Dialect::encodeControlAnswer(*request, result));
                     };
                     // A change that is still in progress at the end may be committed or not.
                     session->onLastCall([answer] {
@@ -321,13 +345,16 @@
                         unclear.problem = "this VM stops";
                         answer(unclear);
                     });
-                    control_->call(Dialect::decodeControlCall(request), answer);
-                });
+                    control_->call(Dialect::decodeControlCall(*request), answer);
+                },
+                callerBounds(settings_));
         if (!callSessions)
             return fromNet(callSessions.error());
         callSessions_ = callSessions.value();
+        logClosings(*callSessions_, log_);
         return serveMetrics(io_, settings_.metricsAddress, [this](const auto &done) {
-            done(control_->metrics() + stop_.metrics());
+            done(control_->metrics() + stop_.metrics()
+                 + net::metricsOf(*callSessions_, "fireflyroute_control_call"));
         });
     }
 
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -31,6 +31,9 @@
 DEFINE_uint32(site_tolerated_losses, 2, "Site: number of control VMs that may fail at once");
 DEFINE_uint32(site_revoke_ms, 5000, "Site: time within which all entries refuse a revoked key");
 DEFINE_double(site_grace_s, 8, "Site: time from the stop signal to the kill");
+DEFINE_uint32(site_memory_mb, 256, "Site: memory of this VM, in MB");
+DEFINE_uint32(site_held_mb, 0,
+              "Site: memory for requests and answers of callers, in MB; 0: a quarter of the VM's");
 DEFINE_uint32(site_heartbeat_ms, 1200, "Site: heartbeat interval of endpoints");
 DEFINE_double(site_session_s, 5, "Site: longest time between two requests of a session");
 DEFINE_double(site_retry_window_s, 10, "Site: window of the retry budget");
@@ -70,6 +73,10 @@
 constexpr std::chrono::milliseconds kExitMargin{550};
 constexpr std::chrono::milliseconds kLastAnswerMargin{150};
 
+// Parts of a VM's memory and of a process's descriptors that connections of callers may use. The
+// rest is for the state of the process, connections to endpoints and links.
+constexpr std::size_t kHeldMemoryDivisor = 4;
+
 // Used fractions of the allowed budgets. Less than 1 because entries spend them without
 // coordination.
 constexpr double kRetryFraction = 0.85;
@@ -122,6 +129,14 @@
     return limits;
 }
 
+std::size_t heldBytes()
+{
+    const std::size_t megabytes = FLAGS_site_held_mb != 0
+                                          ? FLAGS_site_held_mb
+                                          : FLAGS_site_memory_mb / kHeldMemoryDivisor;
+    return megabytes << 20U;
+}
+
 bool readFlagFile()
 {
     return FLAGS_config.empty()
@@ -135,6 +150,7 @@
     settings.keyLease = std::chrono::milliseconds(
             static_cast<std::int64_t>(FLAGS_site_revoke_ms * kKeyLeaseFraction));
     settings.stopLimits = stopLimits(settings.role, seconds(FLAGS_site_grace_s));
+    settings.heldBytes = heldBytes();
     settings.heartbeatInterval = std::chrono::milliseconds(FLAGS_site_heartbeat_ms);
     settings.sessionTtl = seconds(FLAGS_site_session_s);
     settings.budgetWindow = seconds(FLAGS_site_retry_window_s);
@@ -175,6 +191,8 @@
     settings.dataFolder = FLAGS_site_data_dir;
     if (!isEntry && settings.dataFolder.empty())
         return invalidFlag("site_data_dir", "must not be empty");
+    if (FLAGS_site_memory_mb < kHeldMemoryDivisor)
+        return invalidFlag("site_memory_mb", "must be at least 4");
     readLimits(settings);
     return settings;
 }
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -11,6 +11,7 @@
 #include "core/stop_sequence.h"
 #include "core/types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <map>
@@ -38,6 +39,7 @@
     std::size_t toleratedLosses = 2;
     core::Duration keyLease{}; // how long keys are accepted without confirmation
     core::StopLimits stopLimits; // of this role
+    std::size_t heldBytes = 0; // that connections of callers, or of control calls, may hold
     core::Duration heartbeatInterval{}; // of endpoints
     core::Duration sessionTtl{}; // longest time between two requests of a session
     core::Duration budgetWindow{}; // of the retry budget
--- a/app/structured_log.h
+++ b/app/structured_log.h
@@ -33,6 +33,7 @@
     Freshness, // whether the entry's state is fresh enough to serve
     Quarantine, // crashes of endpoints, and the requests that are refused because of them
     Relay, // entries that lost or regained their path to the endpoints
+    Connection, // connections that were closed, or requests rejected, for the sake of others
 };
 
 } // namespace fireflyroute::app
@@ -54,6 +55,7 @@
             EnumName{app::LogKind::Freshness, "currency"},
             EnumName{app::LogKind::Quarantine, "quarantine"},
             EnumName{app::LogKind::Relay, "relay"},
+            EnumName{app::LogKind::Connection, "connection"},
     };
 };
 
--- a/app/testing/hostile_client_test.py
+++ b/app/testing/hostile_client_test.py
@@ -11,17 +11,19 @@
 import socket
 import sys
 import threading
+import time
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from platform_stand_in import Site, wait_until  # noqa: E402
+from platform_stand_in import Site, call, wait_until  # noqa: E402
 
 MB = 1 << 20
 MEMORY_MB = 64  # of each VM
 CROWD = 24  # connections
 BODY_BYTES = 4 * MB  # the longest legal body
 FLOOD_BYTES = 8 * MB  # sent by each client that knows no end
+MISSING_BYTES = 10  # of a body that stops just short of its end
 MAX_FILES = 128  # open descriptors of a process
 SEND_TIMEOUT_S = 2  # of a client whose bytes aren't read
 
@@ -79,6 +81,11 @@
     yield from repeated(b"e" * 16384, FLOOD_BYTES)
 
 
+def chunked_flood():
+    yield head(CHUNKED)
+    yield from repeated(chunk(16384), FLOOD_BYTES)
+
+
 def announced_flood():
     yield head(LENGTH % (8 << 30))
     yield from repeated(b"b" * 16384, FLOOD_BYTES)
@@ -95,6 +102,17 @@
     yield b"0\r\n\r\n"
 
 
+def open_body(path="/calls/hostile"):
+    yield head(LENGTH % BODY_BYTES, path)
+    yield from repeated(b"b" * 16384, BODY_BYTES - 16384)
+    yield b"b" * (16384 - MISSING_BYTES)
+
+
+def open_chunked_body():
+    yield head(CHUNKED)
+    yield from repeated(chunk(16384), BODY_BYTES - 16384)
+
+
 def endless_head():
     yield b"GET /calls/1 HTTP/1.1\r\n"
     yield from repeated(b"X-Filler: %s\r\n" % (b"h" * 1000) * 16, FLOOD_BYTES)
@@ -147,24 +165,51 @@
                 self.assert_bounded(site, entry)
 
     def test_trailer_lines_without_end(self):
-        self.attack_entry(61, trailer_lines)
+        self.attack_entry(131, trailer_lines)
 
     def test_one_trailer_without_end(self):
-        self.attack_entry(62, one_trailer)
+        self.attack_entry(132, one_trailer)
 
     def test_chunk_extension_without_end(self):
-        self.attack_entry(63, chunk_extension)
+        self.attack_entry(133, chunk_extension)
+
+    def test_chunked_bodies_over_the_limit(self):
+        self.attack_entry(134, chunked_flood)
 
     def test_announced_bodies_over_the_limit(self):
-        self.attack_entry(65, announced_flood)
+        self.attack_entry(135, announced_flood)
 
     def test_heads_without_end(self):
-        self.attack_entry(66, endless_head)
+        self.attack_entry(136, endless_head)
+
+    def test_bodies_that_stop_short_of_their_end(self):
+        self.attack_entry(137, open_body)
+
+    def test_chunked_bodies_that_stop_short_of_their_end(self):
+        self.attack_entry(138, open_chunked_body)
+
+    # The worker keeps each request for a while, so that the entry holds them at the same time.
+    def test_whole_bodies_at_once(self):
+        self.attack_entry(139, whole_body, faults={"hostile": lambda worker, request: time.sleep(3)})
+
+    def test_whole_chunked_bodies_at_once(self):
+        self.attack_entry(140, whole_chunked_body,
+                          faults={"hostile": lambda worker, request: time.sleep(3)})
+
+    def test_bodies_for_a_control_vm_that_stop_short_of_their_end(self):
+        path = "/fireflyroute/Config.Replace"
+        with self.site(141) as site:
+            vm = site.control[0]
+            with self.crowd((vm, 8229), CROWD, lambda: open_body(path)):
+                self.assert_bounded(site, vm)
+                # A VM that doesn't lead redirects the call.
+                self.assertIn(call("GET", vm + ":8229", "/fireflyroute/Config.Read")[0], (200, 307))
+                self.assert_bounded(site, vm)
 
     # A request inside the limits is served in calm, also the largest one.
     def test_largest_legal_request_is_served(self):
         for framing in (whole_body, whole_chunked_body):
-            with self.site(74) as site, socket.create_connection((site.entries[0], 8227)) as client:
+            with self.site(144) as site, socket.create_connection((site.entries[0], 8227)) as client:
                 client.settimeout(20)
                 for part in framing():
                     client.sendall(part)
--- a/net/endpoint_connection.cpp
+++ b/net/endpoint_connection.cpp
@@ -94,10 +94,10 @@
 
 EndpointConnection::~EndpointConnection() = default;
 
-void EndpointConnection::send(std::string bytes, ExchangeHandlers handlers,
+void EndpointConnection::send(OutgoingRequest request, ExchangeHandlers handlers,
                               std::chrono::milliseconds connectTimeout)
 {
-    request_ = std::move(bytes);
+    request_ = std::move(request);
     handlers_ = std::make_shared<const ExchangeHandlers>(std::move(handlers));
     parser_ = std::make_unique<Parser>();
     exchangeActive_ = true;
@@ -200,7 +200,9 @@
     requestSent_ = true;
     writing_ = true;
     awaitReadable();
-    asio::async_write(socket_, asio::buffer(request_),
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_.head),
+                                                    asio::buffer(*request_.body)};
+    asio::async_write(socket_, buffers,
                       [self = shared_from_this()](const error_code &error, std::size_t) {
                           self->writing_ = false;
                           // A failed write does not end the exchange: an early response may already
@@ -208,7 +210,7 @@
                           if (error)
                               self->reusable_ = false;
                           else
-                              self->request_.clear();
+                              self->request_ = {};
                       });
 }
 
--- a/net/endpoint_connection.h
+++ b/net/endpoint_connection.h
@@ -2,7 +2,7 @@
 // may have reached the endpoint. It never resends a request.
 //
 //   auto connection = std::make_shared<EndpointConnection>(io, endpoint);
-//   connection->send(bytes, handlers, connectTimeout);
+//   connection->send(encodeRequest(request, body), handlers, connectTimeout);
 //
 // With a relay the connection takes the way through a tunnel (net/tunnel.h). No byte of a request
 // leaves before the relay has connected to the endpoint.
@@ -89,7 +89,7 @@
 
     // Sends a request. Connects first if the connection is not established yet. The time limit
     // holds for each hop.
-    void send(std::string bytes, ExchangeHandlers handlers,
+    void send(OutgoingRequest request, ExchangeHandlers handlers,
               std::chrono::milliseconds connectTimeout);
 
     // Cancels the exchange and closes the connection. No handler is called afterwards.
@@ -146,7 +146,7 @@
     std::string tunnelRequest_; // in transmission
     char tunnelAnswer_ = 0; // valid once received
     std::optional<TunnelStatus> relayAnswer_; // set if it is not Opened
-    std::string request_; // request in transmission
+    OutgoingRequest request_; // in transmission
     // Set while exchangeActive_ is true. Shared, so that a handler that ends the exchange stays
     // valid while it runs.
     std::shared_ptr<const ExchangeHandlers> handlers_;
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -51,15 +51,15 @@
             [&](std::string_view hopByHopName) { return equalFieldNames(hopByHopName, name); });
 }
 
-std::string encodeRequest(const HttpRequestMessage &request)
+OutgoingRequest encodeRequest(const HttpRequestMessage &request,
+                              std::shared_ptr<const std::string> body)
 {
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     appendHeaderFields(out, request.fields);
-    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
-        fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n", request.body.size());
+    if (!body->empty() || (request.method != "GET" && request.method != "HEAD"))
+        fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n", body->size());
     out += "\r\n";
-    out += request.body;
-    return out;
+    return {std::move(out), std::move(body)};
 }
 
 std::string encodeResponseHead(const HttpResponseHead &head)
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -5,6 +5,7 @@
 
 #include "net/http_types.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,8 +44,17 @@
     std::string body;
 };
 
-// Encodes a request. Content-Length is added if there is a body or the method implies one.
-[[nodiscard]] std::string encodeRequest(const HttpRequestMessage &request);
+// A request in the form in which it is sent. All attempts of a request share its body.
+struct OutgoingRequest
+{
+    std::string head;
+    std::shared_ptr<const std::string> body; // never null
+};
+
+// Encodes a request with the given body, in place of its own. Content-Length is added if there is a
+// body or the method implies one.
+[[nodiscard]] OutgoingRequest encodeRequest(const HttpRequestMessage &request,
+                                            std::shared_ptr<const std::string> body);
 
 // Encodes a response head. The caller adds the fields that frame the body and the final empty line.
 [[nodiscard]] std::string encodeResponseHead(const HttpResponseHead &head);
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -13,74 +13,31 @@
 // After a response that announces the end of its connection, the session waits until the caller has
 // closed its side: a close with unread bytes would reset the connection, and the reset may overtake
 // the response.
+//
+// What the sessions of a listener hold together is bounded by the budget of their group: a session
+// that has to wait for bytes reads nothing meanwhile.
 
 #ifndef FIREFLYROUTE_NET_SERVER_SESSION_H
 #define FIREFLYROUTE_NET_SERVER_SESSION_H
 
-#include "net/errors.h"
+#include "core/byte_budget.h"
 #include "net/http_message.h"
 #include "net/request_reader.h"
+#include "net/session_group.h"
 #include "net/socket_steps.h"
-#include "net/tcp_acceptor.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <cstdint>
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
 namespace fireflyroute::net {
 
-// Limits of requests and time-outs. Shared by all sessions of a listener and may be replaced while
-// they run.
-struct SessionLimits : RequestLimits
-{
-    std::chrono::milliseconds headerTimeout{3000};
-    std::chrono::milliseconds idleTimeout{15000};
-};
-
-class ServerSession;
-
-// Receives one complete request. The handler must keep the session alive until it has responded to
-// the request or aborted the session.
-using SessionHandler =
-        std::function<void(const std::shared_ptr<ServerSession> &, HttpRequestMessage)>;
-
-// Totals of the sessions of one listener.
-struct SessionCounts
-{
-    std::uint64_t requests = 0; // passed to the handler
-    std::uint64_t closedIdle = 0; // connections closed by closeIdleSessions()
-    std::uint64_t closedUnused = 0; // those of closedIdle that never carried a request
-    std::uint64_t lastCalls = 0; // requests whose response endRequests() asked for
-};
-
-// What the sessions of one listener hold.
-struct SessionLoad
-{
-    std::size_t requests = 0; // of which any part was read and whose response is not fully sent
-    std::size_t connections = 0; // not closed
-};
-
-// State that the sessions of one listener share.
-struct SessionGroup
-{
-    SessionLimits limits;
-    SessionHandler handler;
-    std::set<ServerSession *> sessions; // all sessions that are not destroyed yet
-    std::size_t unsentBytes = 0; // of all sessions
-    SessionCounts counts;
-    std::weak_ptr<TcpListener> listener; // owns the group until it is stopped
-    bool announcesEnd = false; // each response announces the end of its connection
-};
-
 class ServerSession : public std::enable_shared_from_this<ServerSession>
 {
 public:
@@ -133,15 +90,35 @@
     [[nodiscard]] std::size_t unsentBytes() const { return unsentBytes_; }
     [[nodiscard]] std::size_t unsentBytesOfGroup() const { return group_->unsentBytes; }
 
+    // Counts bytes of the answer that its owner holds back until it is complete.
+    void setBufferedBytes(std::size_t bytes);
+
+    // The session as a candidate for being closed, and its closing in favour of others.
+    [[nodiscard]] core::HolderState holderState() const;
+    [[nodiscard]] bool hasRequest() const { return requestActive_; }
+    [[nodiscard]] std::chrono::steady_clock::time_point lastProgressAt() const;
+    void closeForOthers(CloseReason reason);
+
+    // Asks again for the bytes that it waits for. Returns whether it still waits.
+    bool retryHold();
+
 private:
     static constexpr std::size_t kMaxUnsentBytes = 64U << 10U;
 
+    // Fewer received bytes are no progress of a request that holds bytes others wait for.
+    static constexpr std::size_t kProgressBytes = 4U << 10U;
+
     void awaitReadable();
     void onReadable();
     void checkForDisconnect();
     void parse(std::string_view bytes);
+    core::HoldVerdict proceed();
+    core::HoldVerdict askForBytes();
+    void updateHolding();
+    void recordProgress();
     void dispatch();
-    void reject(unsigned status);
+    void reject(unsigned status, const HttpFields &fields = {});
+    void rejectForBudget();
     void handleDisconnect();
     [[nodiscard]] bool hasReadPart() const;
     void finishResponse();
@@ -158,6 +135,12 @@
     std::shared_ptr<SessionGroup> group_;
     ReadableWait readableWait_;
     RequestReader reader_;
+    core::Holding holding_; // of the budget of the group
+    std::size_t requestBytes_ = 0; // of the request that the handler has
+    std::size_t bufferedBytes_ = 0; // see setBufferedBytes()
+    std::size_t bytesAtProgress_ = 0; // bytes of the current request at progressAt_
+    std::chrono::steady_clock::time_point progressAt_{}; // last progress of the current request
+    std::chrono::steady_clock::time_point waitsSince_{}; // valid if waitsForBytes_
     std::chrono::steady_clock::time_point idleSince_{}; // start, or last bytes sent
     std::deque<std::string> output_; // the first element is being written
     std::size_t unsentBytes_ = 0; // sum of the sizes in output_
@@ -165,6 +148,7 @@
     std::function<void()> lastCallHandler_;
     std::function<void()> drainedHandler_;
     bool requestStarted_ = false; // a part of the current request was read
+    bool waitsForBytes_ = false; // reads nothing until the budget grants its bytes
     bool requestActive_ = false; // the handler has a request without a complete response
     bool wasUsed_ = false; // a request has been passed to the handler
     bool streaming_ = false; // the streamed response has begun
@@ -176,36 +160,6 @@
     bool open_ = true;
 };
 
-// Listens on "IP:PORT" and starts a session for each connection, until stopAccepting() is called on
-// the returned group or the io_context ends.
-[[nodiscard]] Result<std::shared_ptr<SessionGroup>> acceptSessions(boost::asio::io_context &io,
-                                                                   const std::string &address,
-                                                                   const SessionLimits &limits,
-                                                                   SessionHandler handler);
-
-[[nodiscard]] SessionLoad loadOf(const SessionGroup &group);
-
-// Returns the number of requests that are not passed to the handler yet, also those that lie in the
-// kernel. Costs a system call for each connection.
-[[nodiscard]] std::size_t countUnread(const SessionGroup &group);
-
-// The steps of a stop, in this order. core/stop_sequence.h decides when each is due.
-
-// From now on, each response announces the end of its connection.
-void announceEnd(SessionGroup &group);
-
-// Keeps new connections out. Those that have begun are added to the group until isAccepting() is
-// false.
-void stopAccepting(SessionGroup &group);
-[[nodiscard]] bool isAccepting(const SessionGroup &group);
-
-// Closes the connections that have carried nothing for the period. A request that has arrived but
-// is not read yet keeps its connection open.
-void closeIdleSessions(SessionGroup &group, std::chrono::milliseconds quietPeriod);
-
-// Asks for the responses to all requests in progress, because the process is about to exit.
-void endRequests(SessionGroup &group);
-
 } // namespace fireflyroute::net
 
 #endif
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -98,7 +98,8 @@
             outcome->failure = failure;
             outcome->done = true;
         };
-        connection->send(encodeRequest({"GET", "/", {{"Host", "h"}, {"Id", responseId}}, ""}),
+        connection->send(encodeRequest({"GET", "/", {{"Host", "h"}, {"Id", responseId}}},
+                                       std::make_shared<const std::string>()),
                          handlers, 1000ms);
         runUntil([&] { return outcome->done; });
         return *outcome;
@@ -589,7 +590,9 @@
     };
     handlers.onComplete = [&](ResponseEnd) { complete = true; };
     handlers.onFailure = [](const ExchangeFailure &) {};
-    connection->send(encodeRequest({"GET", "/", {{"Host", "h"}}, ""}), handlers, 1000ms);
+    connection->send(
+            encodeRequest({"GET", "/", {{"Host", "h"}}}, std::make_shared<const std::string>()),
+            handlers, 1000ms);
     runUntil([&] { return received > 0; });
     const std::size_t receivedBeforePause = received;
     io.restart();
--- a/net/testing/tunnel_test.cpp
+++ b/net/testing/tunnel_test.cpp
@@ -216,8 +216,9 @@
         };
         connection = std::make_shared<EndpointConnection>(
                 io, parseAddress(endpointAddress()).value(), parseAddress(relayAddress).value());
-        connection->send(encodeRequest({"POST", "/", {{"Host", "h"}}, body}), handlers,
-                         connectTimeout);
+        connection->send(encodeRequest({"POST", "/", {{"Host", "h"}}},
+                                       std::make_shared<const std::string>(body)),
+                         handlers, connectTimeout);
         return outcome;
     }
 
