Leave descriptors to ordinary callers and to the rest of a process

A crowd of connections that say nothing used up the descriptors of an entry: it accepted no further caller, and neither probes nor scrapes. At the limit, the connection without a request in progress that has made no progress for longest gives way to the new one.

--- a/app/site_process.cpp
+++ b/app/site_process.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+// The load balancer and a few scrapers, each with a connection or two.
+constexpr std::size_t kProbeConnections = 64;
 constexpr std::size_t kProbeHeldBytes = std::size_t(4) << 20U;
 
 // Of readiness probes and scrapes, which have no body to speak of.
@@ -17,6 +19,7 @@
 {
     net::GroupLimits bounds;
     bounds.held.totalBytes = settings.heldBytes;
+    bounds.connections = settings.maxCallers;
     return bounds;
 }
 
@@ -24,6 +27,7 @@
 {
     net::GroupLimits bounds;
     bounds.held.totalBytes = kProbeHeldBytes;
+    bounds.connections = kProbeConnections;
     return bounds;
 }
 
--- a/app/site_settings.cpp
+++ b/app/site_settings.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <sys/resource.h>
 
 DEFINE_string(config, "", "Site: flag file, one flag per line; reloaded when it changes");
 DEFINE_string(site_role, "", "Site: role of this process, entry or control");
@@ -34,6 +35,10 @@
 DEFINE_uint32(site_memory_mb, 256, "Site: memory of this VM, in MB");
 DEFINE_uint32(site_held_mb, 0,
               "Site: memory for requests and answers of callers, in MB; 0: a quarter of the VM's");
+DEFINE_uint32(site_max_files, 0,
+              "Site: descriptors that the VM allows a process; 0: only RLIMIT_NOFILE counts");
+DEFINE_uint32(site_max_callers, 0,
+              "Site: connections of callers; 0: half of the descriptors of the process");
 DEFINE_uint32(site_heartbeat_ms, 1200, "Site: heartbeat interval of endpoints");
 DEFINE_double(site_session_s, 5, "Site: longest time between two requests of a session");
 DEFINE_double(site_retry_window_s, 10, "Site: window of the retry budget");
@@ -76,6 +81,7 @@
 // Parts of a VM's memory and of a process's descriptors that connections of callers may use. The
 // rest is for the state of the process, connections to endpoints and links.
 constexpr std::size_t kHeldMemoryDivisor = 4;
+constexpr std::size_t kCallerDescriptorDivisor = 2;
 
 // Used fractions of the allowed budgets. Less than 1 because entries spend them without
 // coordination.
@@ -137,6 +143,18 @@
     return megabytes << 20U;
 }
 
+std::size_t maxCallers()
+{
+    if (FLAGS_site_max_callers != 0)
+        return FLAGS_site_max_callers;
+    rlimit limit{};
+    (void)getrlimit(RLIMIT_NOFILE, &limit);
+    auto descriptors = static_cast<std::size_t>(limit.rlim_cur);
+    if (FLAGS_site_max_files != 0)
+        descriptors = std::min<std::size_t>(descriptors, FLAGS_site_max_files);
+    return std::max<std::size_t>(descriptors / kCallerDescriptorDivisor, 1);
+}
+
 bool readFlagFile()
 {
     return FLAGS_config.empty()
@@ -151,6 +169,7 @@
             static_cast<std::int64_t>(FLAGS_site_revoke_ms * kKeyLeaseFraction));
     settings.stopLimits = stopLimits(settings.role, seconds(FLAGS_site_grace_s));
     settings.heldBytes = heldBytes();
+    settings.maxCallers = maxCallers();
     settings.heartbeatInterval = std::chrono::milliseconds(FLAGS_site_heartbeat_ms);
     settings.sessionTtl = seconds(FLAGS_site_session_s);
     settings.budgetWindow = seconds(FLAGS_site_retry_window_s);
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -40,6 +40,7 @@
     core::Duration keyLease{}; // how long keys are accepted without confirmation
     core::StopLimits stopLimits; // of this role
     std::size_t heldBytes = 0; // that connections of callers, or of control calls, may hold
+    std::size_t maxCallers = 0; // connections of callers, or of control calls
     core::Duration heartbeatInterval{}; // of endpoints
     core::Duration sessionTtl{}; // longest time between two requests of a session
     core::Duration budgetWindow{}; // of the retry budget
--- a/app/testing/hostile_client_test.py
+++ b/app/testing/hostile_client_test.py
@@ -25,6 +25,7 @@
 FLOOD_BYTES = 8 * MB  # sent by each client that knows no end
 MISSING_BYTES = 10  # of a body that stops just short of its end
 MAX_FILES = 128  # open descriptors of a process
+IDLE_CROWD = 200  # connections, more than the descriptors of the process
 SEND_TIMEOUT_S = 2  # of a client whose bytes aren't read
 
 
@@ -206,6 +207,26 @@
                 self.assertIn(call("GET", vm + ":8229", "/fireflyroute/Config.Read")[0], (200, 307))
                 self.assert_bounded(site, vm)
 
+    def attack_descriptors(self, network, make_parts):
+        # Time-outs of the connections don't end the attack.
+        with self.site(network, limits={"headerTimeoutMs": 60000, "idleTimeoutMs": 60000}) as site:
+            entry = site.entries[0]
+            site.kill(entry)
+            site.start(entry, max_files=MAX_FILES)
+            site.wait_until_served("/calls/1")
+            with self.crowd((entry, 8227), IDLE_CROWD, make_parts):
+                self.assertIsNone(site.processes[entry].poll(), "the process has ended")
+                self.assertLess(self.open_files(site, entry), MAX_FILES)
+                self.assert_served(site)
+                self.assertTrue(site.is_ready())
+                self.assertEqual(site.entry_metric("entry_ready"), 1)
+
+    def test_connections_that_say_nothing(self):
+        self.attack_descriptors(142, lambda: iter(()))
+
+    def test_connections_that_send_a_part_of_a_head(self):
+        self.attack_descriptors(143, lambda: iter((b"G", b"E")))
+
     # A request inside the limits is served in calm, also the largest one.
     def test_largest_legal_request_is_served(self):
         for framing in (whole_body, whole_chunked_body):
--- a/net/session_group.cpp
+++ b/net/session_group.cpp
@@ -39,6 +39,31 @@
         step(*session);
 }
 
+// Closes the session without a request in progress that has made no progress for longest. Returns
+// whether there was one.
+bool closeOldestIdle(SessionGroup &group)
+{
+    const std::vector<std::shared_ptr<ServerSession>> sessions = sessionsOf(group);
+    std::shared_ptr<ServerSession> oldest;
+    for (const std::shared_ptr<ServerSession> &session : sessions) {
+        const bool isIdle = session->load().connections != 0 && !session->hasRequest();
+        if (isIdle && (!oldest || session->lastProgressAt() < oldest->lastProgressAt()))
+            oldest = session;
+    }
+    if (oldest)
+        oldest->closeForOthers(CloseReason::ConnectionLimit);
+    return oldest != nullptr;
+}
+
+void accept(const std::shared_ptr<SessionGroup> &group, tcp::socket socket)
+{
+    if (group->sessions.size() >= group->bounds.connections && !closeOldestIdle(*group)) {
+        recordClosed(*group, {CloseReason::NoRoom, 0, {}});
+        return;
+    }
+    std::make_shared<ServerSession>(std::move(socket), group)->start();
+}
+
 void retryWaiting(const std::shared_ptr<SessionGroup> &group);
 
 void armWaitTimer(const std::shared_ptr<SessionGroup> &group)
@@ -79,7 +104,7 @@
 {
     auto group = std::make_shared<SessionGroup>(io, limits, bounds, std::move(handler));
     BOOST_OUTCOME_TRY(listener, acceptConnections(io, address, [group](tcp::socket socket) {
-                          std::make_shared<ServerSession>(std::move(socket), group)->start();
+                          accept(group, std::move(socket));
                       }));
     group->listener = listener;
     return group;
--- a/net/session_group.h
+++ b/net/session_group.h
@@ -5,8 +5,9 @@
 //   group.value()->limits = changed;
 //   closeIdleSessions(*group.value(), quietPeriod);
 //
-// When bytes run short, those connections give way that core/byte_budget.h chooses. Connections
-// whose callers owe nothing stay open.
+// At the limit of connections, the one that has made no progress for longest gives way to a new
+// one; when bytes run short, those give way that core/byte_budget.h chooses. Connections whose
+// callers owe nothing stay open.
 
 #ifndef FIREFLYROUTE_NET_SESSION_GROUP_H
 #define FIREFLYROUTE_NET_SESSION_GROUP_H
@@ -26,6 +27,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -37,6 +39,8 @@
 enum class CloseReason {
     BodyStalled, // held a part of a request without progress
     AnswerUnread, // did not receive its answer
+    ConnectionLimit, // made room for a new connection
+    NoRoom, // was refused as a new connection, because no other could be closed
     BudgetUsedUp, // its request was rejected after a wait for bytes
 };
 
@@ -50,6 +54,8 @@
     static constexpr std::array table{
             EnumName{net::CloseReason::BodyStalled, "body_stalled"},
             EnumName{net::CloseReason::AnswerUnread, "answer_unread"},
+            EnumName{net::CloseReason::ConnectionLimit, "connection_limit"},
+            EnumName{net::CloseReason::NoRoom, "no_room"},
             EnumName{net::CloseReason::BudgetUsedUp, "budget_used_up"},
     };
 };
@@ -70,6 +76,7 @@
 struct GroupLimits
 {
     core::HoldLimits held;
+    std::size_t connections = std::numeric_limits<std::size_t>::max();
 };
 
 class ServerSession;
