Bound the number of values of a document that is sent to a control VM

A document of 4 MB may hold two million values, and jsoncpp takes up to 100 bytes for each: one call within the limits took a control VM to 224 MB, of 256 MB on the users' VMs. Documents of calls and configurations may now have 200,000 values; a larger one is rejected with 400 before it is parsed.

process.hostile_client_test, test_document_of_many_values_for_a_control_vm: 224 MB before, bound 64 MB. After: passes.

--- a/app/testing/hostile_client_test.py
+++ b/app/testing/hostile_client_test.py
@@ -207,6 +207,16 @@
                 self.assertIn(call("GET", vm + ":8229", "/fireflyroute/Config.Read")[0], (200, 307))
                 self.assert_bounded(site, vm)
 
+    # A document of many small values takes many times its length once it is parsed.
+    def test_document_of_many_values_for_a_control_vm(self):
+        with self.site(145) as site:
+            vm = site.control[0]
+            body = '{"version":9,"routes":[' + "0," * (BODY_BYTES // 2 - 50) + "0]}"
+            self.assertEqual(call("POST", vm + ":8229", "/fireflyroute/Config.Replace", body)[0],
+                             400)
+            self.assert_bounded(site, vm)
+            self.assert_served(site)
+
     def attack_descriptors(self, network, make_parts):
         # Time-outs of the connections don't end the attack.
         with self.site(network, limits={"headerTimeoutMs": 60000, "idleTimeoutMs": 60000}) as site:
--- a/net/testing/text_json_test.cpp
+++ b/net/testing/text_json_test.cpp
@@ -19,6 +19,19 @@
     BOOST_TEST(parseJson("{\"a\":[1,2]}").value()["a"].size() == 2U);
 }
 
+// Guards against documents whose values take many times the memory of their text.
+BOOST_AUTO_TEST_CASE(document_of_too_many_values_is_rejected)
+{
+    const auto listOf = [](std::size_t count) {
+        std::string text = "[";
+        for (std::size_t i = 1; i < count; ++i)
+            text += "0,";
+        return text + "0]";
+    };
+    BOOST_TEST(parseDocument(listOf(kMaxDocumentValues)).has_value());
+    BOOST_TEST(!parseDocument(listOf(kMaxDocumentValues + 1)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(rpc_call_returns_result_or_error_from_exception)
 {
     RpcServer server;
--- a/net/text_json.cpp
+++ b/net/text_json.cpp
@@ -2,6 +2,7 @@
 
 #include "net/text_json.h"
 
+#include <algorithm>
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
@@ -27,6 +28,17 @@
     return value;
 }
 
+Result<Json::Value> parseDocument(std::string_view text)
+{
+    // Each value but the first of a list or object follows a comma, and the first a bracket. Those
+    // within texts are counted as well.
+    const auto values = static_cast<std::size_t>(std::count_if(
+            text.begin(), text.end(), [](char c) { return c == ',' || c == '[' || c == '{'; }));
+    if (values > kMaxDocumentValues)
+        return NetFailure{NetError::Malformed, "too many values"};
+    return parseJson(text);
+}
+
 std::string writeJson(const Json::Value &value)
 {
     Json::StreamWriterBuilder builder;
