Decide in one place whether a request is a stream

A request is a stream if the kind of its route is stream: Route::isStream(). ProxyRequest and Route::isIdempotent() compared the kind each for itself. Whether the service has models decides only which model is chosen. Behaviour doesn't change.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -146,7 +146,7 @@
     void armTimer();
     [[nodiscard]] core::Instant stallDeadline() const;
     [[nodiscard]] core::Duration stallTimeout() const;
-    [[nodiscard]] bool isStream() const { return route_->kind == core::RouteKind::Stream; }
+    [[nodiscard]] bool isStream() const { return route_->isStream(); }
     [[nodiscard]] net::HttpFields responseFields() const;
 
     TrafficPlane &plane_;
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -66,9 +66,13 @@
 
     bool operator==(const Route &) const = default;
 
+    // Whether a request is a stream. Nothing else decides it: routes to services without models
+    // have streams, and routes to services with models have calls.
+    [[nodiscard]] bool isStream() const { return kind == RouteKind::Stream; }
+
     [[nodiscard]] bool isIdempotent() const
     {
-        return kind == RouteKind::Safe || (kind == RouteKind::Stream && resumable);
+        return kind == RouteKind::Safe || (isStream() && resumable);
     }
 };
 
