Cover streams and calls, with models and without, in the tests of planned stops

The model of the stop has a route for each caller, streams that the exit may cut if they were sent early, and a traffic thread that learns of the signal up to a tick late. All four kinds hold, alone and a stream beside a call.

The process test sends the four kinds on kept connections 3.1 to 4.2 s after SIGTERM.

--- a/app/testing/planned_stop_test.py
+++ b/app/testing/planned_stop_test.py
@@ -11,8 +11,8 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from caller_stand_in import Callers, Connection, encode  # noqa: E402
-from platform_stand_in import Site, wait_until  # noqa: E402
+from caller_stand_in import Answer, Callers, Connection, encode  # noqa: E402
+from platform_stand_in import SEAL, Site, wait_until  # noqa: E402
 
 READY_PORT = 8220
 
@@ -23,6 +23,28 @@
     return False
 
 
+def answer_late(worker, request):
+    """A worker's fault that answers a call after some seconds, also on a service with models."""
+    worker.record_run(request)
+    time.sleep(2)
+    worker.reply(request, 200, {"Fireflyroute-Response-Seal": SEAL}, b"late")
+    return True
+
+
+def add_call_with_models(config):
+    """Adds a route of calls to the service with models, and gives streams time to outlast a stop."""
+    by_name = {route["name"]: route for route in config["routes"]}
+    config["routes"].append(dict(by_name["lookup"], name="summary", pathPrefix="/summaries/",
+                                 service="llm", sizes=["small", "large"]))
+    for route in config["routes"]:
+        route["timeoutMs"] = 20000
+
+
+# Paths of the four combinations of a stream or a call with a service with models or without.
+STREAMS = {"stream, models": "/drafts/slow", "stream, no models": "/letters/slow"}
+CALLS = {"call, models": "/summaries/late", "call, no models": "/calls/late"}
+
+
 class ControlThreadLoad:
     """Requests on the readiness port that keep the control thread of an entry busy for seconds."""
 
@@ -132,6 +154,70 @@
             caller.join()
             self.assertEqual(answers, [504])
 
+    # Guards against requests that are sent later than 3 s after the signal on connections that callers
+    # have kept, are passed on, and are cut by the exit (LOST): streams are told from calls by the kind
+    # of their route, whether their service has models or not.
+    def test_late_request_of_each_kind_is_answered_or_refused(self):
+        with Site(61) as site:
+            self.start_site(site, change=add_call_with_models)
+            site.worker("m-1", "llm", faults={"late": answer_late, "slow": "slow"})
+            site.workers[0].faults.update(late=answer_late, slow="slow")
+            site.wait_until_served("/drafts/1", "/letters/1", "/summaries/1")
+            results = self.send_late(site, [3.1, 3.5, 3.9, 4.2])
+            for kind, sent_s, identity, answer in results:
+                with self.subTest(kind=kind, sent_s=round(sent_s, 2)):
+                    self.check_late_answer(site, sent_s, identity, answer)
+            answered = {kind for kind, _, _, answer in results if answer.status == 200}
+            refused = {kind for kind, _, _, answer in results if answer.status == 503}
+            self.assertEqual(answered, set(CALLS))
+            self.assertEqual(refused, set(STREAMS))
+
+    def send_late(self, site, times):
+        """Sends requests of each kind on connections that were used before the signal, at the given
+        times after it. Returns (kind, time, id, answer) of each."""
+        kept = []
+        for kind, path in {**STREAMS, **CALLS}.items():
+            for send_s in times:
+                connection = Connection(site.entries[0])
+                connection.send(encode("GET", "/calls/1", "first"))
+                self.assertEqual(connection.receive().status, 200)
+                kept.append((kind, path, send_s, connection))
+        # The process closes no idle connection before 4.5 s while a request is in progress.
+        running = Connection(site.entries[0])
+        running.send(encode("POST", "/letters/slow", "running", Fireflyroute_Deadline_Ms="20000"))
+        wait_until(lambda: any(run[0] == "running" for run in site.workers[0].runs), "the stream runs")
+        site.kill(site.entries[0], signal.SIGTERM)
+        stopped_at, results = time.monotonic(), []
+
+        def use(kind, path, send_s, connection):
+            time.sleep(max(0, stopped_at + send_s - time.monotonic()))
+            sent_s, identity = time.monotonic() - stopped_at, "%s-%.1f" % (path[1:], send_s)
+            try:
+                connection.send(encode("POST", path, identity, Fireflyroute_Deadline_Ms="20000"))
+                answer = connection.receive()
+            except OSError as problem:
+                answer = Answer(problem=str(problem))
+            results.append((kind, sent_s, identity, answer))
+
+        threads = [threading.Thread(target=use, args=item) for item in kept]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.wait_until_ended(site)
+        running.close()
+        return results
+
+    def check_late_answer(self, site, sent_s, identity, answer):
+        has_run = any(run[0] == identity for worker in site.workers for run in worker.runs)
+        if has_run:
+            self.assertNotEqual(answer.status, 0, answer.problem)
+        elif answer.status:
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.fields)
+        else:  # the process has closed its idle connections
+            self.assertGreater(sent_s, 4.4, answer.problem)
+
     # Guards against signals that end a process because they arrive before their handler.
     def test_reload_right_after_a_start_does_not_end_the_process(self):
         with Site(60, controls=1) as site:
--- a/core/testing/stop_explorer_test.cpp
+++ b/core/testing/stop_explorer_test.cpp
@@ -27,7 +27,10 @@
 public:
     static constexpr bool kAwaitsClose = false;
 
-    void begin(ModelSessions & /*sessions*/, Instant now) { begunAt_ = now; }
+    void begin(ModelSessions & /*sessions*/, Instant signalledAt, Instant /*now*/)
+    {
+        begunAt_ = signalledAt;
+    }
 
     bool step(ModelSessions &sessions, Instant now)
     {
@@ -41,7 +44,7 @@
         return !isBusy || now - begunAt_ >= kModelLimits.exitPeriod;
     }
 
-    [[nodiscard]] bool takesRequests(Instant now) const
+    [[nodiscard]] bool takesRequest(const Route & /*route*/, Instant now) const
     {
         return begunAt_ == Instant{} || now - begunAt_ < kModelLimits.acceptPeriod;
     }
@@ -52,6 +55,45 @@
     Instant begunAt_;
 };
 
+// Takes a request for a stream if its route has models, as the traffic plane did until 6c5be05.
+class StopByModels : public PlannedStop
+{
+public:
+    void begin(ModelSessions &sessions, Instant signalledAt, Instant now)
+    {
+        PlannedStop::begin(sessions, signalledAt, now);
+        sequence_.begin(signalledAt);
+    }
+
+    [[nodiscard]] bool takesRequest(const Route &route, Instant now) const
+    {
+        return sequence_.takesRequests(now)
+               && (route.models.empty() || sequence_.startsStreams(now));
+    }
+
+private:
+    StopSequence sequence_{kModelLimits};
+};
+
+// Measures the times of the stop from when the traffic thread learns of the signal.
+class StopByItsOwnStart : public PlannedStop
+{
+public:
+    void begin(ModelSessions &sessions, Instant /*signalledAt*/, Instant now)
+    {
+        PlannedStop::begin(sessions, now, now);
+        lagTicks_ = static_cast<std::uint8_t>((now - kModelStart) / kModelTick);
+    }
+
+    [[nodiscard]] std::uint8_t state() const
+    {
+        return static_cast<std::uint8_t>(PlannedStop::state() + 16 * lagTicks_);
+    }
+
+private:
+    std::uint8_t lagTicks_ = 0;
+};
+
 struct Exploration
 {
     std::size_t states = 0;
@@ -193,6 +235,19 @@
     return result;
 }
 
+constexpr std::array kRoutes{ModelRoute::Call, ModelRoute::CallWithModels, ModelRoute::Stream,
+                             ModelRoute::StreamWithModels};
+
+// Two callers of the given routes.
+ModelBounds boundsOf(ModelRoute first, ModelRoute second)
+{
+    return {.callers = 2,
+            .requests = 2,
+            .parts = 1,
+            .isPipelining = false,
+            .routes = {first, second}};
+}
+
 // The bounds are exhausted, with both kinds of exit and without a state that can't move on.
 void checkHolds(const ModelBounds &bounds)
 {
@@ -209,25 +264,43 @@
 // Guards against a stop that loses a request of a caller that keeps its connection.
 BOOST_AUTO_TEST_CASE(stop_loses_no_request_on_kept_connections)
 {
-    checkHolds({.callers = 2, .requests = 2, .parts = 1, .isPipelining = false});
+    checkHolds({.callers = 2, .requests = 2, .parts = 1, .isPipelining = false, .routes = {}});
 }
 
 // Guards against a stop that loses a request on one connection while it decides about others.
 BOOST_AUTO_TEST_CASE(stop_loses_no_request_on_several_connections)
 {
-    checkHolds({.callers = 3, .requests = 1, .parts = 1, .isPipelining = false});
+    checkHolds({.callers = 3, .requests = 1, .parts = 1, .isPipelining = false, .routes = {}});
 }
 
 // Guards against a stop that loses requests that have arrived in part.
 BOOST_AUTO_TEST_CASE(stop_loses_no_request_that_arrives_in_parts)
 {
-    checkHolds({.callers = 2, .requests = 2, .parts = 2, .isPipelining = false});
+    checkHolds({.callers = 2, .requests = 2, .parts = 2, .isPipelining = false, .routes = {}});
 }
 
 // Guards against a stop that passes on a request whose answer can't be received any more.
 BOOST_AUTO_TEST_CASE(stop_loses_no_pipelined_request)
 {
-    checkHolds({.callers = 2, .requests = 2, .parts = 1, .isPipelining = true});
+    checkHolds({.callers = 2, .requests = 2, .parts = 1, .isPipelining = true, .routes = {}});
+}
+
+// Guards against a stop that passes a request on late and cuts it, whether its route is one of
+// streams or of calls, and whether its service has models or not.
+BOOST_AUTO_TEST_CASE(stop_loses_no_request_of_any_kind)
+{
+    for (const ModelRoute route : kRoutes)
+        checkHolds(boundsOf(route, route));
+}
+
+// Guards against a stop in which a stream in progress, which holds up the end of the announcement,
+// costs a request of another kind.
+BOOST_AUTO_TEST_CASE(stop_loses_no_request_beside_one_of_another_kind)
+{
+    for (const ModelRoute stream : {ModelRoute::Stream, ModelRoute::StreamWithModels}) {
+        for (const ModelRoute call : {ModelRoute::Call, ModelRoute::CallWithModels})
+            checkHolds(boundsOf(stream, call));
+    }
 }
 
 // The same in wider bounds, by hand: STOP_EXPLORER=wide
@@ -238,9 +311,29 @@
         BOOST_TEST_MESSAGE("run by hand only");
         return;
     }
-    checkHolds({.callers = 3, .requests = 2, .parts = 1, .isPipelining = false});
-    checkHolds({.callers = 3, .requests = 1, .parts = 2, .isPipelining = false});
-    checkHolds({.callers = 2, .requests = 2, .parts = 2, .isPipelining = true});
+    checkHolds({.callers = 3, .requests = 2, .parts = 1, .isPipelining = false, .routes = {}});
+    checkHolds({.callers = 3, .requests = 1, .parts = 2, .isPipelining = false, .routes = {}});
+    checkHolds({.callers = 2, .requests = 2, .parts = 2, .isPipelining = true, .routes = {}});
+}
+
+// Guards against a model that can't tell the kind of a route from the models of its service.
+BOOST_AUTO_TEST_CASE(stop_by_models_is_found_to_cut_streams_without_models)
+{
+    const auto isCut = [](ModelRoute route) {
+        return explore<StopByModels>("stop by models", boundsOf(route, route))
+                .traces.contains(StopViolation::StreamCut);
+    };
+    BOOST_TEST(isCut(ModelRoute::Stream));
+    BOOST_TEST(!isCut(ModelRoute::StreamWithModels));
+}
+
+// Guards against a model in which the thread of the sessions always learns of the signal at once.
+// The late exit is the first violation: streams are taken as much later.
+BOOST_AUTO_TEST_CASE(stop_by_its_own_start_is_found_to_exit_late)
+{
+    const Exploration result = explore<StopByItsOwnStart>(
+            "stop by its own start", boundsOf(ModelRoute::Stream, ModelRoute::Stream));
+    BOOST_TEST(result.traces.contains(StopViolation::LateExit));
 }
 
 // Guards against a model in which nothing can go wrong: the earlier procedure breaks the invariants
@@ -248,7 +341,8 @@
 BOOST_AUTO_TEST_CASE(earlier_stop_is_found_to_lose_requests)
 {
     const Exploration result = explore<EarlierStop>(
-            "earlier stop", {.callers = 2, .requests = 2, .parts = 1, .isPipelining = false});
+            "earlier stop",
+            {.callers = 2, .requests = 2, .parts = 1, .isPipelining = false, .routes = {}});
     BOOST_TEST(result.traces.contains(StopViolation::RequestCut));
     BOOST_TEST(result.traces.contains(StopViolation::UnreadAtExit));
     BOOST_TEST(result.traces.contains(StopViolation::WaitingAtExit));
--- a/core/testing/stop_model.h
+++ b/core/testing/stop_model.h
@@ -9,8 +9,10 @@
 // A request consists of parts that arrive one by one. The turns of the traffic thread do what
 // net/server_session.cpp and net/tcp_acceptor.cpp do, in any order and as late as can be, with two
 // exceptions: the timer of the stop runs at least once in each tick, and handlers that are queued
-// when it runs, run before it runs again. Streams, tunnels, callers that leave while they wait, and
-// the time-outs of requests aren't modelled.
+// when it runs, run before it runs again. The traffic thread learns of the signal within
+// kSignalLagTicks. Each caller uses one route: of calls or of streams, to a service with models or
+// without. Tunnels, callers that leave while they wait, the time-outs of requests, and streams that
+// continue on another endpoint aren't modelled.
 //
 // Not violations, because no process can know of them or help it:
 // - a request that reaches the kernel after its idle connection was closed; so the announcement of
@@ -20,12 +22,14 @@
 // - an answer that the kernel hasn't taken when the time is used up, because its caller doesn't
 //   receive it, or that its caller hasn't received within the time to close;
 // - a request of which only a part has been read, or a connection that waits, when the time is used
-//   up.
+//   up;
+// - a stream that has begun when the time is used up, and that was sent before kExcusedTicks.
 
 #ifndef FIREFLYROUTE_CORE_TESTING_STOP_MODEL_H
 #define FIREFLYROUTE_CORE_TESTING_STOP_MODEL_H
 
 #include "core/enum_names.h"
+#include "core/site_config.h"
 #include "core/stop_sequence.h"
 
 #include <algorithm>
@@ -51,6 +55,8 @@
 constexpr std::uint8_t kQuietTicks = 1; // like kQuietPeriod of app/process_stop.cpp
 constexpr std::uint8_t kCloseTicks = 2; // like kCloseTimeout of net/server_session.cpp
 constexpr std::uint8_t kExitLagTicks = 1; // within which the control thread carries out the exit
+constexpr std::uint8_t kSignalLagTicks = 1; // within which the traffic thread learns of the signal
+constexpr std::uint8_t kExcusedTicks = 2; // streams that are sent later must not be cut
 
 enum class StopMove : std::uint8_t {
     Connect,
@@ -62,10 +68,12 @@
     PassAccepted,
     Read,
     ParseInput,
+    BeginStream,
     Answer,
     FinishWrite,
     EndWaitForClose,
     Signal,
+    BeginStop,
     StepStop,
     CloseListener,
     Exit,
@@ -85,10 +93,12 @@
             EnumName{StopMove::PassAccepted, "the accepted connection is passed on"},
             EnumName{StopMove::Read, "the session reads"},
             EnumName{StopMove::ParseInput, "the session parses what it has read before"},
+            EnumName{StopMove::BeginStream, "the endpoint begins a stream"},
             EnumName{StopMove::Answer, "the endpoint answers"},
             EnumName{StopMove::FinishWrite, "the write is reported"},
             EnumName{StopMove::EndWaitForClose, "the time for the caller's close ends"},
             EnumName{StopMove::Signal, "the stop is requested"},
+            EnumName{StopMove::BeginStop, "the traffic thread begins the stop"},
             EnumName{StopMove::StepStop, "the stop's timer runs"},
             EnumName{StopMove::CloseListener, "the listener closes"},
             EnumName{StopMove::Exit, "the control thread exits"},
@@ -98,6 +108,7 @@
 
 enum class StopViolation : std::uint8_t {
     RequestCut,
+    StreamCut,
     AnswerCut,
     UnreadAtExit,
     WaitingAtExit,
@@ -112,6 +123,7 @@
 {
     static constexpr std::array table{
             EnumName{StopViolation::RequestCut, "the exit cuts a request that was passed on"},
+            EnumName{StopViolation::StreamCut, "the exit cuts a stream that was sent late"},
             EnumName{StopViolation::AnswerCut, "an early exit cuts an answer"},
             EnumName{StopViolation::UnreadAtExit, "an early exit resets an unread request"},
             EnumName{StopViolation::WaitingAtExit, "an early exit resets a waiting connection"},
@@ -123,6 +135,21 @@
     };
 };
 
+enum class ModelRoute : std::uint8_t { Call, CallWithModels, Stream, StreamWithModels };
+
+inline const Route &routeOf(ModelRoute route)
+{
+    static const std::array routes = [] {
+        std::array<Route, 4> made;
+        for (const ModelRoute item : {ModelRoute::Stream, ModelRoute::StreamWithModels})
+            made[static_cast<std::size_t>(item)].kind = RouteKind::Stream;
+        for (const ModelRoute item : {ModelRoute::CallWithModels, ModelRoute::StreamWithModels})
+            made[static_cast<std::size_t>(item)].models = {ModelName("small"), ModelName("large")};
+        return made;
+    }();
+    return routes[static_cast<std::size_t>(route)];
+}
+
 enum class ModelStage : std::uint8_t {
     Unused,
     Waiting, // established by the kernel
@@ -136,6 +163,8 @@
     ModelStage stage = ModelStage::Unused;
 
     // The caller.
+    ModelRoute route = ModelRoute::Call;
+    std::uint8_t excusedParts = 0; // of streams: sent before kExcusedTicks
     std::uint8_t sentParts = 0;
     std::uint8_t receivedAnswers = 0;
     bool wasToldEnd = false;
@@ -157,6 +186,8 @@
     bool closeAfterWrite = false;
     bool awaitsClose = false;
     bool isAheadOfStep = false; // a handler was queued when the stop's timer ran last
+    std::uint8_t startedStreams = 0; // read and not refused at once
+    bool hasBegunStream = false; // the caller has a part of the answer to the active request
 
     auto operator<=>(const ModelConnection &) const = default;
 
@@ -167,23 +198,27 @@
     }
 };
 
+constexpr std::size_t kMaxModelCallers = 4;
+
 struct ModelBounds
 {
     std::uint8_t callers = 2; // kMaxModelCallers at most, one connection each
     std::uint8_t requests = 2; // of each caller
     std::uint8_t parts = 1; // of each request
     bool isPipelining = false; // a caller sends its next request without waiting for the answer
+    std::array<ModelRoute, kMaxModelCallers> routes{}; // of each caller
 };
 
-constexpr std::size_t kMaxModelCallers = 4;
-
 // What the thread of the sessions holds, and the steps that a stop can take there.
 class ModelSessions
 {
 public:
     explicit ModelSessions(const ModelBounds &modelBounds)
         : bounds(modelBounds)
-    {}
+    {
+        for (std::size_t caller = 0; caller < connections.size(); ++caller)
+            connections[caller].route = bounds.routes[caller];
+    }
 
     [[nodiscard]] StopLoad load() const
     {
@@ -228,7 +263,7 @@
         for (ModelConnection &connection : connections) {
             if (connection.hasUnreadRequest())
                 respond(connection, true);
-            else if (connection.requestActive)
+            else if (connection.requestActive && !connection.hasBegunStream)
                 respond(connection, announcesEnd);
         }
     }
@@ -244,6 +279,7 @@
     void respond(ModelConnection &connection, bool isLast) const
     {
         connection.requestActive = false;
+        connection.hasBegunStream = false;
         ++connection.unsentAnswers;
         connection.writing = true;
         connection.closeAfterWrite = isLast;
@@ -284,18 +320,19 @@
     std::optional<StopViolation> violation; // the first one
 };
 
-// A procedure of a stop. step() runs on the traffic thread and returns whether it orders the exit;
+// A procedure of a stop. begin() and step() run on the traffic thread. begin() is told when the
+// signal arrived and when the thread learns of it. step() returns whether it orders the exit;
 // state() is what its next steps depend on, apart from the time.
 template<typename P>
 concept StopProcedure = std::copy_constructible<P> && requires(P procedure, const P &constProcedure,
                                                                ModelSessions &sessions, Instant now)
 {
-    procedure.begin(sessions, now);
+    procedure.begin(sessions, now, now);
     {
         procedure.step(sessions, now)
         } -> std::same_as<bool>;
     {
-        constProcedure.takesRequests(now)
+        constProcedure.takesRequest(routeOf(ModelRoute::Call), now)
         } -> std::same_as<bool>;
     {
         constProcedure.state()
@@ -311,9 +348,9 @@
 public:
     static constexpr bool kAwaitsClose = true;
 
-    void begin(ModelSessions &sessions, Instant now)
+    void begin(ModelSessions &sessions, Instant signalledAt, Instant /*now*/)
     {
-        sequence_.begin(now);
+        sequence_.begin(signalledAt);
         sessions.announcesEnd = true;
     }
 
@@ -333,7 +370,12 @@
         return false;
     }
 
-    [[nodiscard]] bool takesRequests(Instant now) const { return sequence_.takesRequests(now); }
+    // Like prepare() and pickEndpoint() of app/proxy_request_impl.h for a first attempt.
+    [[nodiscard]] bool takesRequest(const Route &route, Instant now) const
+    {
+        return sequence_.takesRequests(now) && (!route.isStream() || sequence_.startsStreams(now));
+    }
+
     [[nodiscard]] std::uint8_t state() const
     {
         return static_cast<std::uint8_t>(2 * static_cast<int>(sequence_.phase())
@@ -386,6 +428,8 @@
         switch (move.kind) {
         case StopMove::Signal:
             return signal();
+        case StopMove::BeginStop:
+            return beginStop();
         case StopMove::StepStop:
             return stepStop();
         case StopMove::CloseListener:
@@ -409,7 +453,7 @@
                 procedure_.state(),
                 ticks_,
                 static_cast<std::uint8_t>(sessions_.isListening + 2 * sessions_.isStoppingToListen),
-                isStopping_,
+                static_cast<std::uint8_t>(isSignalled_ + 2 * isStopping_),
                 hasStepped_,
                 exitOrderedAt_ ? *exitOrderedAt_ : kNever,
                 hasExited_,
@@ -465,6 +509,9 @@
             if (!connection.requestActive && !connection.closeAfterWrite)
                 parse(connection);
             return true;
+        case StopMove::BeginStream:
+            return connection.requestActive && isStream(connection)
+                   && !std::exchange(connection.hasBegunStream, true);
         case StopMove::Answer:
             if (!connection.requestActive)
                 return false;
@@ -566,7 +613,8 @@
         connection.inputParts -= sessions_.bounds.parts;
         connection.waitsReadable = connection.inputParts == 0;
         connection.requestActive = true;
-        if (!procedure_.takesRequests(now()))
+        connection.startedStreams += isStream(connection) ? 1 : 0;
+        if (!procedure_.takesRequest(routeOf(connection.route), now()))
             sessions_.respond(connection, sessions_.announcesEnd);
     }
 
@@ -588,15 +636,29 @@
         return true;
     }
 
-    bool signal()
+    bool signal() { return !std::exchange(isSignalled_, true); }
+
+    bool beginStop()
     {
-        if (isStopping_)
+        if (!isSignalled_ || isStopping_)
             return false;
         isStopping_ = true;
-        procedure_.begin(sessions_, now());
+        procedure_.begin(sessions_, kModelStart, now());
         return true;
     }
 
+    // Of the route of the caller, whatever the procedure takes it for.
+    static bool isStream(const ModelConnection &connection)
+    {
+        return routeOf(connection.route).kind == RouteKind::Stream;
+    }
+
+    [[nodiscard]] bool isExcused(const ModelConnection &connection) const
+    {
+        return connection.hasBegunStream && !isExitEarly_
+               && connection.startedStreams * sessions_.bounds.parts <= connection.excusedParts;
+    }
+
     // The handlers that were queued when the timer ran last have run: the io_context runs them in
     // order.
     bool stepStop()
@@ -632,8 +694,11 @@
         const bool isOpen = connection.stage == ModelStage::Open;
         const bool isWaiting =
                 connection.stage == ModelStage::Waiting || connection.stage == ModelStage::Accepted;
+        if (isOpen && isExcused(connection))
+            return;
         if (isOpen && connection.requestActive)
-            sessions_.violation = StopViolation::RequestCut;
+            sessions_.violation = connection.hasBegunStream ? StopViolation::StreamCut
+                                                            : StopViolation::RequestCut;
         else if (isExitEarly_ && isOpen && connection.unsentAnswers != 0)
             sessions_.violation = StopViolation::AnswerCut;
         else if (isExitEarly_ && connection.hasUnreadRequest())
@@ -645,11 +710,15 @@
     bool passTime()
     {
         const bool mustExit = exitOrderedAt_ && ticks_ >= *exitOrderedAt_ + kExitLagTicks;
-        if (!isStopping_ || mustExit || (!hasStepped_ && !exitOrderedAt_))
+        const bool mustStep =
+                isStopping_ ? !hasStepped_ && !exitOrderedAt_ : ticks_ >= kSignalLagTicks;
+        if (!isSignalled_ || mustExit || mustStep)
             return false;
         ++ticks_;
         hasStepped_ = false;
         for (ModelConnection &connection : sessions_.connections) {
+            if (ticks_ == kExcusedTicks && isStream(connection))
+                connection.excusedParts = connection.sentParts;
             if (connection.stage == ModelStage::Open)
                 connection.quietTicks = std::min<std::uint8_t>(connection.quietTicks + 1,
                                                                std::max(kQuietTicks, kCloseTicks));
@@ -662,7 +731,8 @@
     ModelSessions sessions_;
     Procedure procedure_;
     std::uint8_t ticks_ = 0; // since the signal
-    bool isStopping_ = false;
+    bool isSignalled_ = false;
+    bool isStopping_ = false; // the traffic thread knows of the signal
     bool hasStepped_ = false; // the stop's timer ran in this tick
     std::optional<std::uint8_t> exitOrderedAt_;
     bool isExitEarly_ = false; // ordered before the end of the exit period
