Split the implementation of ProxyRequest by phase

app/proxy_request_impl.h held one class of 1,173 lines. It now includes one file for each phase: accept, admit, choose, dispatch, relay, resume and end. The head of each file states what comes in and what goes out. Constants are beside the phase that uses them; the two shared ones stay.

--- /dev/null
+++ b/app/proxy_request_admit.h
@@ -0,0 +1,41 @@
+// Admit: whether a checked request may be sent to endpoints.
+//
+// In: the route, the account and the content of the request.
+// Out: whether it shares a trait with requests that crashed endpoints. This is asked before every
+// attempt, because a trait may be quarantined while the request runs.
+
+#ifndef FIREFLYROUTE_APP_PROXY_REQUEST_ADMIT_H
+#define FIREFLYROUTE_APP_PROXY_REQUEST_ADMIT_H
+
+#include "app/proxy_request.h"
+
+namespace fireflyroute::app {
+
+// What the request has in common with others that may crash endpoints.
+template<TrafficDialect Dialect>
+std::vector<core::RequestTrait> ProxyRequest<Dialect>::traits() const
+{
+    return core::traitsOf(meta_.prompt, account_ ? account_->id : core::ClientAccountId(),
+                          request_.target, *body_);
+}
+
+template<TrafficDialect Dialect>
+bool ProxyRequest<Dialect>::isQuarantined(core::Instant now) const
+{
+    if (!plane_.crashWatch.isActive())
+        return false;
+    const std::optional<core::RequestTrait> found =
+            plane_.crashWatch.findQuarantined(traits(), now);
+    if (!found)
+        return false;
+    LogLine(plane_.log, LogKind::Quarantine)
+            .add("event", "refused")
+            .add("id", meta_.id.value())
+            .add("trait", core::describe(std::vector{*found}))
+            .add("attempts", attemptTracker_.attemptCount());
+    return true;
+}
+
+} // namespace fireflyroute::app
+
+#endif
