Decide once whether a request is a stream

The kind of the route was compared at each use. core/request_form decides by the kind of the route alone, a phase of its own (app/proxy_request_classify.h) stores the form, and all later phases use the stored form. No behaviour changes. core.request_form_test passes: it guards against a second condition, such as whether the service has models.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -11,6 +11,7 @@
 
 #include "app/traffic_plane.h"
 #include "core/event_stream.h"
+#include "core/request_form.h"
 #include "core/sendings.h"
 #include "net/server_session.h"
 
@@ -79,6 +80,7 @@
     // request can't be served.
     [[nodiscard]] std::optional<core::Refusal> prepare(core::Instant now);
     void route();
+    void classify();
     void waitForStartup();
     void chooseService();
 
@@ -146,7 +148,7 @@
     void armTimer();
     [[nodiscard]] core::Instant stallDeadline() const;
     [[nodiscard]] core::Duration stallTimeout() const;
-    [[nodiscard]] bool isStream() const { return route_->isStream(); }
+    [[nodiscard]] bool isStream() const { return form_ == core::RequestForm::Stream; }
     [[nodiscard]] net::HttpFields responseFields() const;
 
     TrafficPlane &plane_;
@@ -156,6 +158,7 @@
     core::RequestMeta meta_;
     std::shared_ptr<const core::SiteTable> table_; // owns *route_ and *account_
     const core::Route *route_ = nullptr;
+    core::RequestForm form_ = core::RequestForm::Call; // set by classify()
     const core::Account *account_ = nullptr; // null on public routes or if no keys are configured
     core::ServiceName service_;
     boost::asio::steady_timer timer_;
--- a/app/proxy_request_accept.h
+++ b/app/proxy_request_accept.h
@@ -96,6 +96,7 @@
         return core::Refusal::NotReady;
     if (!route_)
         return core::Refusal::UnknownRoute;
+    classify();
     if (table_->needsKeys() && !route_->isPublic) {
         account_ = table_->accountOf(meta_.key);
         if (!account_)
--- a/app/proxy_request_impl.h
+++ b/app/proxy_request_impl.h
@@ -17,6 +17,7 @@
 #include "app/proxy_request_accept.h"
 #include "app/proxy_request_admit.h"
 #include "app/proxy_request_choose.h"
+#include "app/proxy_request_classify.h"
 #include "app/proxy_request_dispatch.h"
 #include "app/proxy_request_end.h"
 #include "app/proxy_request_relay.h"
