Make admission a phase of a request

Whether a request may be sent to endpoints had no place of its own. core/request_admission defines policies by a concept; the entry's policy is a member of TrafficPlane and is asked once, after the check of the key and before the request counts for the retry budget of its service. The first policy admits every request, as before.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -2,6 +2,9 @@
 // on other endpoints, and exactly one response. Kept alive by its pending operations. Runs on the
 // traffic thread only.
 //
+// The phases, each with a file of its own (app/proxy_request_PHASE.h), are: accept (and check),
+// classify, admit, choose, dispatch, relay, resume, and end (and refuse).
+//
 //   std::make_shared<ProxyRequest<Dialect>>(plane, session, std::move(request))->start();
 //
 // Dialect encodes and decodes the fields of the messages (see platform/dialect.h).
@@ -84,6 +87,7 @@
     void waitForStartup();
     void chooseService();
 
+    void admit(core::Instant now);
     [[nodiscard]] std::vector<core::RequestTrait> traits() const;
     [[nodiscard]] bool isQuarantined(core::Instant now) const;
     void startAttempt();
@@ -177,7 +181,7 @@
     std::string streamMediaType_; // of the stream that the caller receives
     bool responseStarted_ = false; // part of the response was sent to the caller
     bool finished_ = false;
-    bool isCounted_ = false; // recorded as a request of its service
+    bool isAdmitted_ = false; // and recorded as a request of its service
 };
 
 } // namespace fireflyroute::app
--- a/app/proxy_request_accept.h
+++ b/app/proxy_request_accept.h
@@ -58,9 +58,7 @@
         refuse(*refusal);
         return;
     }
-    if (!std::exchange(isCounted_, true))
-        plane_.recordRequest(service_, now);
-    startAttempt();
+    admit(now);
 }
 
 // Retries routing after the next change of the entry's state, or after kStartupWaitLimit if nothing
--- a/app/proxy_request_admit.h
+++ b/app/proxy_request_admit.h
@@ -1,8 +1,10 @@
 // Admit: whether a checked request may be sent to endpoints.
 //
 // In: the route, the account and the content of the request.
-// Out: whether it shares a trait with requests that crashed endpoints. This is asked before every
-// attempt, because a trait may be quarantined while the request runs.
+// Out: an admitted request, which starts its first attempt, or a refusal, as the policy of the
+// entry decides (core/request_admission.h). For later phases: whether the request shares a trait
+// with requests that crashed endpoints. This is asked before every attempt, because a trait may be
+// quarantined while the request runs.
 
 #ifndef FIREFLYROUTE_APP_PROXY_REQUEST_ADMIT_H
 #define FIREFLYROUTE_APP_PROXY_REQUEST_ADMIT_H
@@ -11,6 +13,22 @@
 
 namespace fireflyroute::app {
 
+// A request that is routed again, after a wait for the start of the process, stays admitted.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::admit(core::Instant now)
+{
+    if (!isAdmitted_) {
+        if (const std::optional<core::Refusal> refusal =
+                    plane_.admission.admit({*route_, account_, form_}, now)) {
+            refuse(*refusal);
+            return;
+        }
+        isAdmitted_ = true;
+        plane_.recordRequest(service_, now);
+    }
+    startAttempt();
+}
+
 // What the request has in common with others that may crash endpoints.
 template<TrafficDialect Dialect>
 std::vector<core::RequestTrait> ProxyRequest<Dialect>::traits() const
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -16,6 +16,7 @@
 #include "core/latency_baseline.h"
 #include "core/model_choice.h"
 #include "core/prompt_index.h"
+#include "core/request_admission.h"
 #include "core/retry_budget.h"
 #include "core/session_pins.h"
 #include "core/site_messages.h"
@@ -145,6 +146,7 @@
     std::shared_ptr<const core::SiteView> view; // never null
     core::Instant freshUntil; // the view is confirmed as fresh until then
     core::StopSequence stop; // of this process
+    core::AdmitAll admission; // satisfies core::RequestAdmission
     core::EndpointMonitor monitor;
     core::EndpointPicker picker;
     core::ModelChooser models;
