--- a/core/request_form.h
+++ b/core/request_form.h
@@ -29,7 +29,7 @@
 
 [[nodiscard]] inline RequestForm requestForm(const Route &route)
 {
-    return route.kind == RouteKind::Stream ? RequestForm::Stream : RequestForm::Call;
+    return route.isStream() ? RequestForm::Stream : RequestForm::Call;
 }
 
 } // namespace fireflyroute::core
