Decode allowedRegions and decide which data centres may serve

A configuration may restrict routes and accounts to regions. The decoder skipped the field as unknown.

Routes and accounts keep their lists. core::RegionPolicy is the one decision: all lists apply, an empty one restricts nothing, and a data centre without a region serves no restricted request. Nothing uses it yet.

core.region_policy_test, core.version_gate_test and platform.site_config_json_test pass.

--- a/core/site_config.h
+++ b/core/site_config.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "core/errors.h"
+#include "core/region_policy.h"
 #include "core/types.h"
 
 #include <array>
@@ -63,6 +64,7 @@
     std::uint32_t maxAttempts = 1; // number of endpoints that a request may be sent to
     std::vector<ModelName> models; // the entry chooses one; in ascending order of size
     std::vector<WeightedService> services; // never empty
+    RegionNames allowedRegions; // that may serve its requests; empty: all
 
     bool operator==(const Route &) const = default;
 
@@ -100,6 +102,7 @@
     ClientAccountId id;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> rank; // overrides the rank of the route
+    RegionNames allowedRegions; // that may serve its requests; empty: all
 
     bool operator==(const Account &) const = default;
 };
