Keep restricted requests in their regions

Endpoints were chosen regardless of allowedRegions.

TrafficPlane::candidates(), which all choices of an endpoint pass, asks the policy of the request. Relays are known by their VM only, not by their data centre, so restricted requests take no relayed connection, new or idle.

--- a/app/endpoint_path.cpp
+++ b/app/endpoint_path.cpp
@@ -30,16 +30,15 @@
     , relays_(settings.vm)
 {}
 
-std::optional<EndpointExchange> EndpointPath::start(const core::EndpointRecord &endpoint,
-                                                    const core::RequestId &request, bool mayProbe,
-                                                    std::function<void()> onPathLost,
-                                                    core::Instant now)
+std::optional<EndpointExchange>
+EndpointPath::start(const core::EndpointRecord &endpoint, const core::RequestId &request,
+                    PathChoice choice, std::function<void()> onPathLost, core::Instant now)
 {
     EndpointExchange exchange;
     exchange.startedAt = now;
     exchange.connectTimeout = kConnectTimeout;
-    exchange.isProbe = mayProbe && monitor_.tryProbe(now);
-    const bool isRelayed = !exchange.isProbe && canRelay(now);
+    exchange.isProbe = choice.mayProbe && monitor_.tryProbe(now);
+    const bool isRelayed = choice.mayRelay && !exchange.isProbe && canRelay(now);
     const bool mayReuseDirect = !exchange.isProbe && monitor_.state() != core::PathState::Silent;
     if (mayReuseDirect)
         exchange.connection = pool_.takeIdle(endpoint.id, request, ConnectionPath::Direct);
@@ -61,7 +60,8 @@
     }
     if (!exchange.connection->isRelayed()) {
         exchange.waiting = monitor_.startWaiting(endpoint.id, now);
-        pathLostHandlers_.emplace(*exchange.waiting, std::move(onPathLost));
+        if (choice.mayRelay)
+            pathLostHandlers_.emplace(*exchange.waiting, std::move(onPathLost));
     }
     return exchange;
 }
--- a/app/endpoint_path.h
+++ b/app/endpoint_path.h
@@ -2,8 +2,13 @@
 // endpoints, through another entry of the site. Decisions on requests don't depend on it. Used by
 // the traffic thread only.
 //
-//   std::optional<EndpointExchange> exchange = path.start(endpoint, request, mayProbe, onPathLost,
-//   now); exchange->connection->send(bytes, handlers, exchange->connectTimeout);
+// A relay receives the bodies of the requests that it passes on. The entry knows relays by their VM
+// only, not by their data centre, so requests that are restricted to regions use direct connections
+// only.
+//
+//   std::optional<EndpointExchange> exchange = path.start(endpoint, request,
+//           {mayProbe, mayRelay}, onPathLost, now);
+//   exchange->connection->send(bytes, handlers, exchange->connectTimeout);
 //   path.recordBytes(*exchange, now);
 //   if (path.recordFailure(*exchange, endpoint.id, failure, now)) // the endpoint is at fault
 //   path.end(*exchange);
@@ -28,6 +33,13 @@
 
 namespace fireflyroute::app {
 
+// Which paths a request may take.
+struct PathChoice
+{
+    bool mayProbe = false; // may try the direct path while the entry is isolated
+    bool mayRelay = true; // its body may be sent to other entries
+};
+
 // One request on a connection.
 struct EndpointExchange
 {
@@ -53,9 +65,9 @@
     void setEndpointCount(std::size_t count) { monitor_.setEndpointCount(count); }
 
     // Starts an exchange. Nothing if the endpoint's address is invalid. `onPathLost` is called if
-    // the path of a direct exchange is lost before end().
+    // the path of a direct exchange that may be relayed is lost before end().
     [[nodiscard]] std::optional<EndpointExchange>
-    start(const core::EndpointRecord &endpoint, const core::RequestId &request, bool mayProbe,
+    start(const core::EndpointRecord &endpoint, const core::RequestId &request, PathChoice choice,
           std::function<void()> onPathLost, core::Instant now);
 
     // Bytes of the endpoint were received.
--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -125,7 +125,8 @@
     void handleNotExecuted();
     void endAttempt();
     void failAttempt(core::AttemptOutcome outcome, std::string_view cause, bool isSevere);
-    // Ends an attempt that failed through no fault of the endpoint.
+    // Ends an attempt that failed through no fault of the endpoint. Without a relay, the next
+    // attempt would take the same path, so it has to go to another endpoint.
     void failAttemptOnPath(core::AttemptOutcome outcome, std::string_view cause);
     void retryOrFail(core::AttemptOutcome outcome, std::string_view cause);
     [[nodiscard]] core::RetryVerdict retryVerdict() const;
@@ -164,6 +165,7 @@
     const core::Route *route_ = nullptr;
     core::RequestForm form_ = core::RequestForm::Call; // set by classify()
     const core::Account *account_ = nullptr; // null on public routes or if no keys are configured
+    core::RegionPolicy regions_; // of the route and the account
     core::ServiceName service_;
     boost::asio::steady_timer timer_;
     core::Instant arrivedAt_;
--- a/app/proxy_request_accept.h
+++ b/app/proxy_request_accept.h
@@ -100,6 +100,11 @@
         if (!account_)
             return core::Refusal::UnknownKey;
     }
+    // The restriction of a caller who gives a key also holds on public routes, which require none.
+    const core::Account *keyOwner = account_ ? account_ : table_->accountOf(meta_.key);
+    regions_ = core::RegionPolicy(
+            plane_.settings.regions,
+            {&route_->allowedRegions, keyOwner ? &keyOwner->allowedRegions : nullptr});
     deadlineAt_ = arrivedAt_ + std::min(meta_.deadline.value_or(route_->timeout), route_->timeout);
     // The caller of a call gets an answer before this process exits, also if its endpoint is late.
     if (!isStream())
--- a/app/proxy_request_choose.h
+++ b/app/proxy_request_choose.h
@@ -60,9 +60,12 @@
         return;
     }
     const core::PickResult pick = pickEndpoint(model_, excludedEndpoints_, now);
+    const bool isRestricted = regions_.isRestricted();
+    if (!pick.endpoint && isRestricted && !responseStarted_ && !plane_.stop.isStopping())
+        plane_.recordRegionRefusal(meta_.id, route_->name, service_, regions_);
     if (pick.endpoint)
         send(pick, now);
-    else if (attemptTracker_.hasNoAttempts() && plane_.isStarting(now))
+    else if (!isRestricted && attemptTracker_.hasNoAttempts() && plane_.isStarting(now))
         waitForStartup();
     else if (responseStarted_)
         waitForAnyEndpoint();
@@ -97,7 +100,7 @@
         query.match = &match;
     }
     const auto pick = [&] {
-        return plane_.picker.pick(plane_.candidates(service_, gate, excluded, now), query,
+        return plane_.picker.pick(plane_.candidates(service_, gate, regions_, excluded, now), query,
                                   plane_.monitor, now);
     };
     const core::PickResult best = pick();
--- a/app/proxy_request_dispatch.h
+++ b/app/proxy_request_dispatch.h
@@ -52,8 +52,8 @@
         if (const auto self = weak.lock())
             self->onPathLost();
     };
-    std::optional<EndpointExchange> exchange =
-            plane_.path.start(endpoint, meta_.id, mayProbe, onPathLost, now);
+    std::optional<EndpointExchange> exchange = plane_.path.start(
+            endpoint, meta_.id, {mayProbe, !regions_.isRestricted()}, onPathLost, now);
     if (!exchange) {
         excludedEndpoints_.insert(endpoint.id);
         retryOrFail(core::AttemptOutcome::NotSent, "bad address");
--- a/app/proxy_request_resume.h
+++ b/app/proxy_request_resume.h
@@ -183,6 +183,11 @@
 template<TrafficDialect Dialect>
 void ProxyRequest<Dialect>::failAttemptOnPath(core::AttemptOutcome outcome, std::string_view cause)
 {
+    if (regions_.isRestricted()) {
+        excludedEndpoints_.insert(attempt_->endpoint.id);
+        if (outcome == core::AttemptOutcome::NotSent)
+            unavailableEndpoints_.insert(attempt_->endpoint.id);
+    }
     endAttempt();
     retryOrFail(outcome, cause);
 }
--- a/app/structured_log.h
+++ b/app/structured_log.h
@@ -34,6 +34,7 @@
     Quarantine, // crashes of endpoints, and the requests that are refused because of them
     Relay, // entries that lost or regained their path to the endpoints
     Connection, // connections that were closed, or requests rejected, for the sake of others
+    Region, // requests that are refused because of a restriction to regions
 };
 
 } // namespace fireflyroute::app
@@ -56,6 +57,7 @@
             EnumName{app::LogKind::Quarantine, "quarantine"},
             EnumName{app::LogKind::Relay, "relay"},
             EnumName{app::LogKind::Connection, "connection"},
+            EnumName{app::LogKind::Region, "region"},
     };
 };
 
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <utility>
 
 namespace fireflyroute::app {
@@ -104,6 +105,7 @@
 
 std::vector<const core::EndpointRecord *>
 TrafficPlane::candidates(const core::ServiceName &service, const core::VersionGate &gate,
+                         const core::RegionPolicy &regions,
                          const std::set<core::EndpointId> &excluded, core::Instant now) const
 {
     std::vector<const core::EndpointRecord *> usable;
@@ -112,8 +114,9 @@
     if (found == view->endpoints.end())
         return usable;
     for (const core::EndpointRecord &endpoint : found->second) {
-        const bool isAllowed = endpoint.state == core::EndpointRecordState::Ready
-                               && gate.admits(endpoint.version) && !excluded.contains(endpoint.id);
+        const bool isAllowed =
+                endpoint.state == core::EndpointRecordState::Ready && gate.admits(endpoint.version)
+                && regions.admits(endpoint.dataCentre) && !excluded.contains(endpoint.id);
         if (!isAllowed)
             continue;
         const std::optional<core::Instant> lastSuccess = monitor.lastSuccessAt(endpoint.id);
@@ -127,6 +130,31 @@
     return usable.empty() ? suspected : usable;
 }
 
+void TrafficPlane::recordRegionRefusal(const core::RequestId &request, const std::string &route,
+                                       const core::ServiceName &service,
+                                       const core::RegionPolicy &regions)
+{
+    ++counts.regionRefused;
+    std::int64_t allowed = 0;
+    std::string dataCentres; // of all endpoints of the service
+    if (const auto found = view->endpoints.find(service); found != view->endpoints.end()) {
+        std::set<std::string> names;
+        for (const core::EndpointRecord &endpoint : found->second) {
+            names.insert(endpoint.dataCentre.value());
+            allowed += regions.admits(endpoint.dataCentre) ? 1 : 0;
+        }
+        dataCentres = fmt::format("{}", fmt::join(names, ","));
+    }
+    LogLine(log, LogKind::Region)
+            .add("event", "refused")
+            .add("id", request.value())
+            .add("route", route)
+            .add("service", service.value())
+            .add("allowed_regions", regions.describe())
+            .add("allowed_endpoints", allowed)
+            .add("data_centres", dataCentres);
+}
+
 TrafficPlane::Budgets &TrafficPlane::budgetsOf(const core::ServiceName &service)
 {
     const auto found = budgets_.find(service);
@@ -317,6 +345,7 @@
     counter("waits_total", counts.waits);
     counter("pauses_total", counts.pauses);
     counter("escalated_total", counts.escalated);
+    counter("region_refusals_total", counts.regionRefused);
     counter("connections_opened_total", pool.opened());
     counter("connections_reused_total", pool.reused());
     counter("revision", view->revision);
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -16,6 +16,7 @@
 #include "core/latency_baseline.h"
 #include "core/model_choice.h"
 #include "core/prompt_index.h"
+#include "core/region_policy.h"
 #include "core/request_admission.h"
 #include "core/retry_budget.h"
 #include "core/session_pins.h"
@@ -47,6 +48,7 @@
     std::uint64_t waits = 0; // pauses of streams that no endpoint could continue
     std::uint64_t pauses = 0; // of endpoints whose callers received too slowly
     std::uint64_t escalated = 0; // answers replaced by one of a larger model
+    std::uint64_t regionRefused = 0; // restricted requests that no allowed endpoint could take
 };
 
 // Timing of a successful answer.
@@ -77,10 +79,16 @@
     void notifyChanged();
 
     // Returns the endpoints that are eligible for an attempt; those that the monitor considers
-    // unusable only if there are no others.
+    // unusable only if there are no others. Every endpoint that a request is sent to is one of
+    // these.
     [[nodiscard]] std::vector<const core::EndpointRecord *>
     candidates(const core::ServiceName &service, const core::VersionGate &gate,
-               const std::set<core::EndpointId> &excluded, core::Instant now) const;
+               const core::RegionPolicy &regions, const std::set<core::EndpointId> &excluded,
+               core::Instant now) const;
+
+    // Records that a restricted request is refused, since no allowed endpoint can take it.
+    void recordRegionRefusal(const core::RequestId &request, const std::string &route,
+                             const core::ServiceName &service, const core::RegionPolicy &regions);
 
     void recordRequest(const core::ServiceName &service, core::Instant now);
     [[nodiscard]] bool tryRetry(const core::ServiceName &service, core::Instant now);
