--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -72,9 +72,10 @@
     worker ends the connection of each request whose prompt has the part `deadly_part` and starts anew."""
 
     def __init__(self, site, name, ip, service, version="v1", faults=None, deadly_part=None,
-                 names_requests=False):
+                 names_requests=False, zone="a"):
         self.names_requests = names_requests  # whether events name the request that they answer
         self.site, self.name, self.service, self.version = site, name, service, version
+        self.zone = zone  # data centre
         self.faults, self.deadly_part = faults or {}, deadly_part
         self.crashes = 0
         self.ended_connections = 0  # closed by the entry in the middle of an endless answer
@@ -110,7 +111,7 @@
 
     def send_heartbeat(self, ip):
         self.sequence += 1
-        body = {"service": self.service, "address": self.address, "zone": "a",
+        body = {"service": self.service, "address": self.address, "zone": self.zone,
                 "version": self.version, "slots": 8, "state": self.state, "coldRemainingMs": 0,
                 "sequence": self.sequence, "born": self.started_at_ms}
         try:
@@ -354,12 +355,14 @@
 class Site:
     """Control VMs and entries as real processes, with simulated workers and an operator."""
 
-    def __init__(self, network, controls=3, entries=1):
-        """`network` is the second octet of the addresses, so that tests can run in parallel."""
+    def __init__(self, network, controls=3, entries=1, regions="a=r", entry_zones=()):
+        """`network` is the second octet of the addresses, so that tests can run in parallel. `regions`:
+        DATA_CENTRE=REGION pairs. `entry_zones`: data centres of the first entries; of all others "a"."""
         self.folder = tempfile.mkdtemp(prefix="fireflyroute-site-")
         self.control = ["127.%d.1.%d" % (network, i + 1) for i in range(controls)]
         self.entries = ["127.%d.2.%d" % (network, i + 1) for i in range(entries)]
         self.network, self.processes, self.workers = network, {}, []
+        self.regions, self.zones = regions, dict(zip(self.entries, entry_zones))
         self.requests = 0
         self.seeds = None  # the first control VMs, unless others are set
         # The retry budget must suffice for a few requests, most of which fail once.
@@ -395,7 +398,8 @@
 
     def write_settings(self, ip, first_start=False):
         """Replaces the settings file of a process, which may read it at any time. Returns its path."""
-        flags = {"site_vm_ip": ip, "site_data_centre": "a", "site_regions": "a=r",
+        flags = {"site_vm_ip": ip, "site_data_centre": self.zones.get(ip, "a"),
+                 "site_regions": self.regions,
                  "site_link_port": "7340", "site_first_start": str(first_start).lower(),
                  "site_seeds": ",".join(item + ":8229" for item in self.seeds or self.control[:3]),
                  **self.memory_flags(), **self.more_flags}
