Count the times of a stop from its signal, also if it is handled late

Callers: if an entry was held up while SIGTERM arrived, streams that were sent later than 3 s after the signal were passed on and cut by the exit, or by the kill 8 s after the signal.

Cause: the times of the stop counted from when the control thread handled the signal. Streams are refused from 2.8 s on, so a hold-up of more than 0.2 s moved this past 3 s, and one of 0.55 s moved the exit past the kill.

Change: a timer of the thread that waits for signals records its turns every 50 ms. A signal that is handled late arrived after the turn before the last one (core/turn_watch.h), and the stop of an entry counts from two periods after that turn, or from now if this is earlier. So it counts from 0.1 s after the signal at most, and from the handling as before if there was no hold-up. Control VMs count from the handling as before: their last answers are due seconds before the kill, and a transfer that begins late takes as long.

--- a/app/process_stop.cpp
+++ b/app/process_stop.cpp
@@ -29,14 +29,14 @@
     , timer_(io)
 {}
 
-void ProcessStop::begin(std::shared_ptr<net::SessionGroup> group,
+void ProcessStop::begin(core::Instant requestedAt, std::shared_ptr<net::SessionGroup> group,
                         std::function<std::size_t()> countTunnels, std::function<void()> onEnded)
 {
     group_ = std::move(group);
     countTunnels_ = std::move(countTunnels);
     onEnded_ = std::move(onEnded);
     countsAtBegin_ = group_->counts;
-    sequence_.begin(clock_.now());
+    sequence_.begin(requestedAt);
     net::announceEnd(*group_);
     scheduleStep();
 }
--- a/app/process_stop.h
+++ b/app/process_stop.h
@@ -28,9 +28,10 @@
     // `sequence` is also asked by the owner, for the requests that it takes.
     ProcessStop(boost::asio::io_context &io, core::StopSequence &sequence, StructuredLog &log);
 
-    // Starts the stop. `countTunnels` returns the number of tunnels of other processes.
-    void begin(std::shared_ptr<net::SessionGroup> group, std::function<std::size_t()> countTunnels,
-               std::function<void()> onEnded);
+    // Starts the stop that was requested at `requestedAt`, which may have passed. `countTunnels`
+    // returns the number of tunnels of other processes.
+    void begin(core::Instant requestedAt, std::shared_ptr<net::SessionGroup> group,
+               std::function<std::size_t()> countTunnels, std::function<void()> onEnded);
 
     [[nodiscard]] std::string metrics() const;
 
--- a/app/signals.cpp
+++ b/app/signals.cpp
@@ -14,20 +14,27 @@
 // Interval for polling the settings file; the platform provides no notification of file changes.
 constexpr std::chrono::milliseconds kSettingsPollPeriod{1000};
 
+// The arrival of a late signal is known to two such periods. An entry takes streams until 2.8 s
+// after the signal, and must not cut those that are sent later than 3 s after it.
+constexpr std::chrono::milliseconds kTurnPeriod{50};
+
 } // namespace
 
 ProcessSignals::ProcessSignals(boost::asio::io_context &io, StructuredLog &log,
                                std::function<void(const SiteSettings &)> reload,
-                               std::function<void()> stop)
+                               std::function<void(core::Instant)> stop)
     : log_(log)
     , signals_(io, SIGTERM, SIGINT, SIGHUP)
     , timer_(io)
+    , turnTimer_(io)
+    , turns_(kTurnPeriod, clock_.now())
     , reload_(std::move(reload))
     , stop_(std::move(stop))
     , lastContents_(readFile())
 {
     awaitSignal();
     watchFile();
+    watchTurns();
 }
 
 void ProcessSignals::awaitSignal()
@@ -39,8 +46,12 @@
             reloadSettings("signal");
         } else if (!stopping_) {
             stopping_ = true;
-            LogLine(log_, LogKind::Process).add("event", "stopping");
-            stop_();
+            const core::Instant now = clock_.now();
+            const core::Instant arrivedAt = turns_.earliestArrival(now);
+            LogLine(log_, LogKind::Process)
+                    .add("event", "stopping")
+                    .add("late_ms", core::toMillis(now - arrivedAt));
+            stop_(arrivedAt);
         }
         awaitSignal();
     });
@@ -58,6 +69,16 @@
     });
 }
 
+void ProcessSignals::watchTurns()
+{
+    turns_.recordTurn(clock_.now());
+    turnTimer_.expires_after(kTurnPeriod);
+    turnTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            watchTurns();
+    });
+}
+
 void ProcessSignals::reloadSettings(std::string_view cause)
 {
     lastContents_ = readFile();
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -133,15 +133,16 @@
     void reload(const SiteSettings &settings) { entry_.reload(settings); }
 
     // Shuts down gracefully: first leaves the load balancer's rotation, then answers what it has
-    // accepted, and exits once no connection of a caller is left or the grace period is over.
-    void stop()
+    // accepted, and exits once no connection of a caller is left or the grace period is over. All
+    // times count from the signal, also if it was handled late.
+    void stop(core::Instant signalledAt)
     {
         stopping_ = true;
-        boost::asio::post(trafficIo_, [this] {
+        boost::asio::post(trafficIo_, [this, signalledAt] {
             const auto countTunnels = [this] {
                 return plane_.tunnels ? plane_.tunnels->active : 0;
             };
-            stop_.begin(callerSessions_, countTunnels,
+            stop_.begin(signalledAt, callerSessions_, countTunnels,
                         [this] { boost::asio::post(io_, [this] { io_.stop(); }); });
         });
     }
@@ -361,12 +362,14 @@
     void reload(const SiteSettings &settings) { control_->reload(settings); }
 
     // Shuts down gracefully: hands the leadership over, then answers what it has accepted, and
-    // exits once no connection of an operator or endpoint is left or the grace period is over.
-    void stop()
+    // exits once no connection of an operator or endpoint is left or the grace period is over. The
+    // times count from now, because a transfer that begins late takes as long: the last answers are
+    // due seconds before the process would be killed.
+    void stop(core::Instant /*signalledAt*/)
     {
         control_->transferLeadership();
         const auto countTunnels = [] { return std::size_t(0); };
-        stop_.begin(callSessions_, countTunnels, [this] {
+        stop_.begin(clock_.now(), callSessions_, countTunnels, [this] {
             exitTimer_.expires_after(kLastMessagePeriod);
             exitTimer_.async_wait([this](const boost::system::error_code &) { io_.stop(); });
         });
@@ -380,6 +383,7 @@
     std::shared_ptr<net::SessionGroup> callSessions_; // set by start()
     core::StopSequence stopSequence_;
     ProcessStop stop_;
+    BootClock clock_;
     boost::asio::steady_timer exitTimer_;
 };
 
@@ -392,7 +396,7 @@
     // Handles signals before anything is accepted: by default they end the process.
     ProcessSignals signals(
             io, log, [process](const SiteSettings &changed) { process->reload(changed); },
-            [process] { process->stop(); });
+            [process](core::Instant signalledAt) { process->stop(signalledAt); });
     const Result<void> started = process->start();
     if (!started) {
         LogLine(log, LogKind::Process)
--- a/app/testing/planned_stop_test.py
+++ b/app/testing/planned_stop_test.py
@@ -172,9 +172,22 @@
             self.assertEqual(answered, set(CALLS))
             self.assertEqual(refused, set(STREAMS))
 
-    def send_late(self, site, times):
+    # Guards against times of a stop that count from when the process handles the signal: a process
+    # that was not scheduled for 0.8 s passed streams on up to 3.6 s after the signal and cut them.
+    def test_late_stream_is_refused_although_the_signal_is_handled_late(self):
+        with Site(62) as site:
+            self.start_site(site, change=add_call_with_models)
+            site.worker("m-1", "llm", faults={"late": answer_late, "slow": "slow"})
+            site.workers[0].faults.update(late=answer_late, slow="slow")
+            site.wait_until_served("/drafts/1", "/letters/1", "/summaries/1")
+            for kind, sent_s, identity, answer in self.send_late(site, [3.05, 3.25, 3.45], 0.8):
+                with self.subTest(kind=kind, sent_s=round(sent_s, 2)):
+                    self.check_late_answer(site, sent_s, identity, answer)
+
+    def send_late(self, site, times, held_up_s=0):
         """Sends requests of each kind on connections that were used before the signal, at the given
-        times after it. Returns (kind, time, id, answer) of each."""
+        times after it. Returns (kind, time, id, answer) of each. `held_up_s`: how long the process is
+        suspended while the signal arrives."""
         kept = []
         for kind, path in {**STREAMS, **CALLS}.items():
             for send_s in times:
@@ -186,6 +199,8 @@
         running = Connection(site.entries[0])
         running.send(encode("POST", "/letters/slow", "running", Fireflyroute_Deadline_Ms="20000"))
         wait_until(lambda: any(run[0] == "running" for run in site.workers[0].runs), "the stream runs")
+        if held_up_s:
+            site.kill(site.entries[0], signal.SIGSTOP)
         site.kill(site.entries[0], signal.SIGTERM)
         stopped_at, results = time.monotonic(), []
 
@@ -202,6 +217,9 @@
         threads = [threading.Thread(target=use, args=item) for item in kept]
         for thread in threads:
             thread.start()
+        if held_up_s:
+            time.sleep(max(0, stopped_at + held_up_s - time.monotonic()))
+            site.kill(site.entries[0], signal.SIGCONT)
         for thread in threads:
             thread.join()
         self.wait_until_ended(site)
