Evacuate data centres by orders in the replicated state

Operators could not take the endpoints of a data centre out of service without draining each of them. Evacuations.Start and Evacuations.Finish now commit a command of the replicated log; entries leave out the endpoints of evacuated data centres at each selection, and refuse a service with 503 and Retry-After if none is left. Everything without evacuations is encoded byte for byte as before.

--- a/app/proxy_request_end.h
+++ b/app/proxy_request_end.h
@@ -36,9 +36,10 @@
         refuse(isPastDeadline ? core::Refusal::DeadlineExceeded : core::Refusal::EndpointFailed);
     else if (isPastDeadline)
         refuse(core::Refusal::Expired);
+    else if (attemptTracker_.wasRejected())
+        refuse(core::Refusal::NotExecuted);
     else
-        refuse(attemptTracker_.wasRejected() ? core::Refusal::NotExecuted
-                                             : core::Refusal::NoEndpoint);
+        refuse(plane_.isEvacuated(service_) ? core::Refusal::Evacuated : core::Refusal::NoEndpoint);
 }
 
 template<TrafficDialect Dialect>
@@ -48,7 +49,8 @@
     ++plane_.refusals[refusal];
     const bool isRetryable =
             refusal == core::Refusal::NotReady || refusal == core::Refusal::NoEndpoint
-            || refusal == core::Refusal::NotExecuted || refusal == core::Refusal::Overloaded;
+            || refusal == core::Refusal::Evacuated || refusal == core::Refusal::NotExecuted
+            || refusal == core::Refusal::Overloaded;
     const core::Duration retryAfter =
             refusal == core::Refusal::NotReady ? proxy::kRetryAfterNotReady : proxy::kRetryAfter;
     const net::HttpResponseMessage response =
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -211,6 +211,7 @@
     gauge("site_revision", state_.data().revision);
     gauge("site_config_version", state_.data().document.version);
     gauge("log_lines_dropped_total", log_.droppedTotal());
+    text += evacuationMetrics();
     return text;
 }
 
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -31,6 +31,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace fireflyroute::app {
 
@@ -73,6 +74,10 @@
     void handleCall(const core::ReadConfigCall &call, const AnswerCallback &callback);
     void handleCall(const core::StartRolloutCall &call, const AnswerCallback &callback);
     void handleCall(const core::ReadRolloutCall &call, const AnswerCallback &callback);
+    // Evacuations are in app/site_control_evacuations.cpp.
+    void handleCall(const core::SetEvacuationCall &call, const AnswerCallback &callback);
+    void handleCall(const core::ReadEvacuationsCall &call, const AnswerCallback &callback);
+    [[nodiscard]] std::string evacuationMetrics() const;
     void handleCall(const core::HeartbeatCall &call, const AnswerCallback &callback);
     void handleCall(const core::DeregisterCall &call, const AnswerCallback &callback);
     void handleCall(const core::InvalidCall &call, const AnswerCallback &callback);
@@ -138,6 +143,8 @@
     std::vector<std::shared_ptr<boost::asio::steady_timer>> timers_;
     std::uint64_t appliedCommands_ = 0;
     std::uint64_t heartbeats_ = 0;
+    // Answered orders to evacuate data centres (true) and withdrawals (false).
+    std::map<std::pair<bool, core::ControlStatus>, std::uint64_t> evacuationOrders_;
     std::uint64_t relayListsSent_ = 0;
     std::uint64_t updateBytesToEntries_ = 0; // of entry updates
     std::uint64_t updateBytesToControlVms_ = 0;
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -222,6 +222,7 @@
                 .add("stage", core::nameOf(rollout.stage))
                 .add("revision", static_cast<std::int64_t>(message.data.revision));
     }
+    logEvacuations(message.data);
     core::ConfigDocument previousDocument = std::move(state_.document);
     state_ = message.data;
     if (message.documentOmitted)
@@ -231,6 +232,28 @@
     publishFreshness();
 }
 
+// Logs the orders and withdrawals by which a newer state differs from the current one.
+void SiteEntry::logEvacuations(const core::SiteData &next)
+{
+    const auto log = [&](std::string_view order, const core::DataCentreId &dataCentre,
+                         std::int64_t orderedAtMs) {
+        LogLine(log_, LogKind::Evacuation)
+                .add("event", order)
+                .add("data_centre", dataCentre.value())
+                .add("since_ms", orderedAtMs)
+                .add("revision", static_cast<std::int64_t>(next.revision));
+    };
+    for (const auto &[dataCentre, orderedAtMs] : next.evacuations) {
+        const auto current = state_.evacuations.find(dataCentre);
+        if (current == state_.evacuations.end() || current->second != orderedAtMs)
+            log("started", dataCentre, orderedAtMs);
+    }
+    for (const auto &[dataCentre, orderedAtMs] : state_.evacuations) {
+        if (!next.evacuations.contains(dataCentre))
+            log("finished", dataCentre, orderedAtMs);
+    }
+}
+
 void SiteEntry::handleMessage(const core::VmId &vm, const core::EndpointUpdate &message)
 {
     bool hasChanged = false;
@@ -263,6 +286,7 @@
     view->revision = state_.revision;
     view->table = table_;
     view->rollouts = state_.rollouts;
+    view->evacuations = state_.evacuations;
     for (core::EndpointRecord &record : registry_.all()) {
         if (record.state != core::EndpointRecordState::Removed)
             view->endpoints[record.service].push_back(std::move(record));
@@ -365,10 +389,11 @@
                        "fireflyroute_entry_state_updates_total {}\n"
                        "fireflyroute_entry_state_bytes_total {}\n"
                        "fireflyroute_entry_isolated {}\nfireflyroute_entry_relays {}\n"
+                       "fireflyroute_entry_evacuations {}\n"
                        "fireflyroute_log_lines_dropped_total {}\n",
                        state_.revision, state_.document.version, isReady() ? 1 : 0, open,
                        stateUpdates_, stateBytes_, isolated_ ? 1 : 0, relays_.size(),
-                       log_.droppedTotal());
+                       state_.evacuations.size(), log_.droppedTotal());
 }
 
 } // namespace fireflyroute::app
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -109,6 +109,7 @@
     void handleMessage(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
     void applyState(const core::VmId &vm, const core::StateUpdate &message);
+    void logEvacuations(const core::SiteData &next);
     void requestState();
     void sendProbes();
     void publishFreshness();
--- a/app/structured_log.h
+++ b/app/structured_log.h
@@ -27,6 +27,7 @@
     Group, // role and membership of the replicated group
     Config, // configuration accepted or refused
     Rollout,
+    Evacuation, // orders to evacuate data centres, and their withdrawal
     Endpoint, // state of an endpoint according to the reports received by this process
     Request, // the outcome of a request
     Attempt, // a retry, an escalation or a failed attempt
@@ -50,6 +51,7 @@
             EnumName{app::LogKind::Group, "group"},
             EnumName{app::LogKind::Config, "config"},
             EnumName{app::LogKind::Rollout, "rollout"},
+            EnumName{app::LogKind::Evacuation, "evacuation"},
             EnumName{app::LogKind::Endpoint, "endpoint"},
             EnumName{app::LogKind::Request, "request"},
             EnumName{app::LogKind::Attempt, "attempt"},
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -2,6 +2,8 @@
 
 #include "app/traffic_plane.h"
 
+#include "core/evacuation.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -116,7 +118,8 @@
     for (const core::EndpointRecord &endpoint : found->second) {
         const bool isAllowed =
                 endpoint.state == core::EndpointRecordState::Ready && gate.admits(endpoint.version)
-                && regions.admits(endpoint.dataCentre) && !excluded.contains(endpoint.id);
+                && regions.admits(endpoint.dataCentre)
+                && core::mayServe(view->evacuations, endpoint) && !excluded.contains(endpoint.id);
         if (!isAllowed)
             continue;
         const std::optional<core::Instant> lastSuccess = monitor.lastSuccessAt(endpoint.id);
@@ -155,6 +158,12 @@
             .add("data_centres", dataCentres);
 }
 
+bool TrafficPlane::isEvacuated(const core::ServiceName &service) const
+{
+    const auto found = view->endpoints.find(service);
+    return found != view->endpoints.end() && core::isEvacuated(view->evacuations, found->second);
+}
+
 TrafficPlane::Budgets &TrafficPlane::budgetsOf(const core::ServiceName &service)
 {
     const auto found = budgets_.find(service);
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -90,6 +90,9 @@
     void recordRegionRefusal(const core::RequestId &request, const std::string &route,
                              const core::ServiceName &service, const core::RegionPolicy &regions);
 
+    // Whether the service has endpoints, all of them in evacuated data centres.
+    [[nodiscard]] bool isEvacuated(const core::ServiceName &service) const;
+
     void recordRequest(const core::ServiceName &service, core::Instant now);
     [[nodiscard]] bool tryRetry(const core::ServiceName &service, core::Instant now);
 
--- a/core/site_calls.h
+++ b/core/site_calls.h
@@ -86,6 +86,7 @@
     UnknownKey,
     NotReady, // no configuration, or it may be outdated
     NoEndpoint, // no endpoint is registered or usable
+    Evacuated, // all endpoints are in evacuated data centres
     Overloaded,
     Quarantined, // the request has crashed endpoints
     NotExecuted, // every endpoint that received the request stated that it did not run it
@@ -102,6 +103,7 @@
             EnumName{Refusal::UnknownKey, "unknown_key"},
             EnumName{Refusal::NotReady, "not_ready"},
             EnumName{Refusal::NoEndpoint, "no_endpoint"},
+            EnumName{Refusal::Evacuated, "evacuated"},
             EnumName{Refusal::Overloaded, "overloaded"},
             EnumName{Refusal::Quarantined, "quarantined"},
             EnumName{Refusal::NotExecuted, "not_run"},
@@ -134,6 +136,15 @@
     ServiceName service;
 };
 
+struct SetEvacuationCall
+{
+    DataCentreId dataCentre; // not empty
+    bool isEvacuated = false;
+};
+
+struct ReadEvacuationsCall
+{};
+
 struct HeartbeatCall
 {
     EndpointRecord record;
@@ -153,7 +164,8 @@
 };
 
 using ControlCall = std::variant<ReplaceConfigCall, ReadConfigCall, StartRolloutCall,
-                                 ReadRolloutCall, HeartbeatCall, DeregisterCall, InvalidCall>;
+                                 ReadRolloutCall, SetEvacuationCall, ReadEvacuationsCall,
+                                 HeartbeatCall, DeregisterCall, InvalidCall>;
 
 // Done: acknowledged, with the requested data. Redirect: the caller has to use another control VM.
 // Unavailable: currently no control VM can answer. Invalid: the call is invalid. NotFound: the
@@ -178,6 +190,7 @@
     std::string address; // for Redirect: "IP:PORT"
     std::string document; // of a configuration read
     std::optional<SiteRollout> rollout; // of a roll-out read
+    std::optional<Evacuations> evacuations; // of a read of the evacuations
     std::string problem;
 };
 
--- a/core/site_state.cpp
+++ b/core/site_state.cpp
@@ -57,4 +57,11 @@
     return applies;
 }
 
+bool SiteState::applyChange(const SetEvacuation &command)
+{
+    if (command.isEvacuated)
+        return data_.evacuations.try_emplace(command.dataCentre, command.orderedAtMs).second;
+    return data_.evacuations.erase(command.dataCentre) != 0;
+}
+
 } // namespace fireflyroute::core
--- a/core/site_state.h
+++ b/core/site_state.h
@@ -1,5 +1,6 @@
-// The replicated state of a site: the newest configuration document and the roll-outs. Commands are
-// applied in the order of the replicated log, so that every control VM reaches the same state.
+// The replicated state of a site: the newest configuration document, the roll-outs and the
+// evacuated data centres. Commands are applied in the order of the replicated log, so that every
+// control VM reaches the same state.
 //
 //   SiteState state;
 //   state.apply(PutDocument{{7, body}});
@@ -85,13 +86,29 @@
     RolloutStage stage = RolloutStage::Canary;
 };
 
-using SiteCommand = std::variant<PutDocument, StartSiteRollout, SetRolloutStage>;
+// Orders the evacuation of a data centre or withdraws the order. A repeated order changes nothing,
+// so that the time of the first one is kept.
+struct SetEvacuation
+{
+    DataCentreId dataCentre;
+    bool isEvacuated = false;
+    std::int64_t orderedAtMs = 0; // wall-clock time of the leader that accepted the order
+
+    bool operator==(const SetEvacuation &) const = default;
+};
+
+// The position of a type is part of the encoding.
+using SiteCommand = std::variant<PutDocument, StartSiteRollout, SetRolloutStage, SetEvacuation>;
+
+// Evacuated data centres with the wall-clock time of their orders in Unix milliseconds.
+using Evacuations = std::map<DataCentreId, std::int64_t>;
 
 struct SiteData
 {
     std::uint64_t revision = 0; // increases by one with each change
     ConfigDocument document;
     std::map<ServiceName, SiteRollout> rollouts; // the newest roll-out of each service
+    Evacuations evacuations;
 
     bool operator==(const SiteData &) const = default;
 };
@@ -112,6 +129,7 @@
     bool applyChange(const PutDocument &command);
     bool applyChange(const StartSiteRollout &command);
     bool applyChange(const SetRolloutStage &command);
+    bool applyChange(const SetEvacuation &command);
 
     SiteData data_;
 };
--- a/core/site_view.h
+++ b/core/site_view.h
@@ -20,6 +20,7 @@
     std::uint64_t revision = 0; // of the state
     std::shared_ptr<const SiteTable> table; // null before the first configuration
     std::map<ServiceName, SiteRollout> rollouts;
+    Evacuations evacuations;
     // Registered endpoints by service; removed endpoints are not included.
     std::unordered_map<ServiceName, std::vector<EndpointRecord>> endpoints;
 };
--- a/core/state_feed.cpp
+++ b/core/state_feed.cpp
@@ -21,6 +21,7 @@
     StateUpdate update;
     update.data.revision = state.revision;
     update.data.rollouts = state.rollouts;
+    update.data.evacuations = state.evacuations;
     update.data.document.version = state.document.version;
     update.documentOmitted = request.documentVersion == state.document.version;
     if (!update.documentOmitted)
--- a/core/testing/state_feed_test.cpp
+++ b/core/testing/state_feed_test.cpp
@@ -67,3 +67,14 @@
     BOOST_TEST(update->data.document.version == 7U);
     BOOST_TEST(update->data.document.bytes.empty());
 }
+
+// Guards against updates that leave a part of the state out, which entries then never receive.
+BOOST_AUTO_TEST_CASE(answer_has_rollouts_and_evacuations)
+{
+    SiteData data = state(2, 7);
+    data.rollouts[ServiceName("llm")].target = VersionName("v2");
+    data.evacuations[DataCentreId("a")] = 1000;
+    const auto update = StateFeed::answer({1, 6}, data);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST((update->data == data));
+}
--- a/net/frame_archive.h
+++ b/net/frame_archive.h
@@ -51,6 +51,21 @@
             throw cereal::Exception("length exceeds the frame");
     }
 
+    [[nodiscard]] bool isAtEnd() const { return bytes_.empty(); }
+
+    // Skips a number if it is what comes next. Returns whether it was.
+    bool skipNumber(std::uint64_t number)
+    {
+        std::uint64_t next = 0;
+        if (bytes_.size() < sizeof next)
+            return false;
+        std::memcpy(&next, bytes_.data(), sizeof next);
+        if (next != number)
+            return false;
+        bytes_.remove_prefix(sizeof next);
+        return true;
+    }
+
 private:
     std::string_view bytes_; // not read yet
 };
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -12,6 +12,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <exception>
+#include <limits>
 #include <sstream>
 
 // cereal finds these functions in the namespace of its archives.
@@ -153,9 +154,35 @@
 }
 
 template<class Archive>
-void serialize(Archive &archive, SiteData &data)
+void serialize(Archive &archive, SetEvacuation &command)
 {
-    archive(data.revision, data.document, data.rollouts);
+    archive(command.dataCentre, command.isEvacuated, command.orderedAtMs);
+}
+
+// Stands in a snapshot with evacuations where one without has the length of the document. A build
+// that knows no evacuations rejects the length: as a control VM it would lose acknowledged orders.
+constexpr std::uint64_t kEvacuationsMark = std::numeric_limits<std::uint64_t>::max();
+
+template<class Archive>
+void save(Archive &archive, const SiteData &data)
+{
+    const bool hasEvacuations = !data.evacuations.empty();
+    archive(data.revision, data.document.version);
+    if (hasEvacuations)
+        archive(kEvacuationsMark);
+    archive(data.document.bytes, data.rollouts);
+    if (hasEvacuations)
+        archive(data.evacuations);
+}
+
+template<class Archive>
+void load(Archive &archive, SiteData &data)
+{
+    archive(data.revision, data.document.version);
+    const bool hasEvacuations = archive.skipNumber(kEvacuationsMark);
+    archive(data.document.bytes, data.rollouts);
+    if (hasEvacuations)
+        archive(data.evacuations);
 }
 
 template<class Archive>
@@ -196,13 +223,17 @@
     archive(message.revision, message.documentVersion);
 }
 
-// The document is compressed: it is by far the largest part of all messages to entries.
+// The document is compressed: it is by far the largest part of all messages to entries. Evacuations
+// follow at the end, if there are any. An entry of a build that knows none ignores them and goes on
+// serving, since decoders ignore what follows a message.
 template<class Archive>
 void save(Archive &archive, const StateUpdate &message)
 {
     const SiteData &data = message.data;
     archive(data.revision, data.document.version, fireflyroute::net::compress(data.document.bytes),
             data.rollouts, message.documentOmitted);
+    if (!data.evacuations.empty())
+        archive(data.evacuations);
 }
 
 template<class Archive>
@@ -212,6 +243,8 @@
     std::string packed;
     archive(data.revision, data.document.version, packed, data.rollouts, message.documentOmitted);
     data.document.bytes = fireflyroute::net::decompress(packed);
+    if (!archive.isAtEnd())
+        archive(data.evacuations);
 }
 
 template<class Archive>
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -26,8 +26,99 @@
     return data;
 }
 
+std::string hexOf(std::string_view bytes)
+{
+    std::string text;
+    for (const char byte : bytes)
+        text += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+    return text;
+}
+
+core::SiteData evacuatedSiteData()
+{
+    core::SiteData data = siteData();
+    data.evacuations = {{core::DataCentreId("a"), 1'700'000'000'000},
+                        {core::DataCentreId("praha-b"), 1'700'000'001'000}};
+    return data;
+}
+
+// Encoding of siteData().rollouts.
+const std::string kRolloutsHex = "0100000000000000"
+                                 "03000000000000006c6c6d" // service
+                                 "03000000000000006c6c6d"
+                                 "02000000000000007632" // target
+                                 "0300000000000000" // number
+                                 "00000000" // duration
+                                 "0000000000000000" // time of the order
+                                 "01000000"; // stage
+
 } // namespace
 
+// The expected bytes are those of the builds before evacuations, which have to read them.
+BOOST_AUTO_TEST_CASE(state_without_evacuations_is_encoded_as_before_evacuations)
+{
+    const std::string positionHex = "09000000000000000700000000000000"; // revision, version
+    BOOST_TEST(hexOf(net::encodeSiteData(siteData()))
+               == "01" + positionHex + "0d000000000000007b2276657273696f6e223a377d" + kRolloutsHex);
+    core::StateUpdate update{siteData(), true};
+    update.data.document.bytes.clear();
+    BOOST_TEST(hexOf(net::encodeMessage(update))
+               == "0103000000" + positionHex
+                          + "0800000000000000"
+                            "7801030000000001"
+                          + kRolloutsHex + "01");
+    const core::SetRolloutStage stageChange{core::ServiceName("llm"), 3,
+                                            core::RolloutStage::Completed};
+    BOOST_TEST(hexOf(net::encodeCommand(stageChange))
+               == "010200000003000000000000006c6c6d030000000000000002000000");
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_round_trip)
+{
+    const auto data = net::decodeSiteData(net::encodeSiteData(evacuatedSiteData()));
+    BOOST_REQUIRE(data);
+    BOOST_TEST((data.value() == evacuatedSiteData()));
+    const auto update =
+            net::decodeMessage(net::encodeMessage(core::StateUpdate{evacuatedSiteData()}));
+    BOOST_REQUIRE(update);
+    BOOST_TEST((std::get<core::StateUpdate>(update.value()).data == evacuatedSiteData()));
+    const core::SetEvacuation order{core::DataCentreId("praha-a"), true, 1'700'000'000'000};
+    const auto command = net::decodeCommand(net::encodeCommand(order));
+    BOOST_REQUIRE(command);
+    BOOST_TEST((std::get<core::SetEvacuation>(command.value()) == order));
+}
+
+// An entry of an older build reads an update up to where the evacuations begin, and goes on
+// serving.
+BOOST_AUTO_TEST_CASE(state_update_with_evacuations_begins_like_one_without)
+{
+    const std::string without = net::encodeMessage(core::StateUpdate{siteData()});
+    const std::string with = net::encodeMessage(core::StateUpdate{evacuatedSiteData()});
+    BOOST_TEST(with.size() > without.size());
+    BOOST_TEST(with.starts_with(without));
+}
+
+// A control VM of an older build that read such a snapshot would lose acknowledged orders. It finds
+// the length of the document, at this offset, larger than any string can be, and rejects it.
+BOOST_AUTO_TEST_CASE(snapshot_with_evacuations_has_no_valid_document_for_older_builds)
+{
+    constexpr std::size_t kLengthOffset = 1 + 8 + 8; // after byte order, revision and version
+    const std::string bytes = net::encodeSiteData(evacuatedSiteData());
+    BOOST_TEST(hexOf(std::string_view(bytes).substr(kLengthOffset, 8)) == "ffffffffffffffff");
+}
+
+BOOST_AUTO_TEST_CASE(truncated_evacuations_are_rejected)
+{
+    const std::string bytes = net::encodeSiteData(evacuatedSiteData());
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        BOOST_TEST(!net::decodeSiteData(std::string_view(bytes).substr(0, size)));
+    // An update that ends before the evacuations is one without.
+    const std::size_t begin = net::encodeMessage(core::StateUpdate{siteData()}).size();
+    const std::string update = net::encodeMessage(core::StateUpdate{evacuatedSiteData()});
+    for (std::size_t size = begin + 1; size < update.size(); ++size)
+        BOOST_TEST(!net::decodeMessage(std::string_view(update).substr(0, size)));
+}
+
 BOOST_AUTO_TEST_CASE(state_and_commands_round_trip)
 {
     const auto data = net::decodeSiteData(net::encodeSiteData(siteData()));
