Order, list and withdraw evacuations from the command line

No command reached the control VMs of a site. evacuation start, finish and list call one of them, follow its redirect to the leader and repeat the call while no leader answers.

--- a/app/commands.cpp
+++ b/app/commands.cpp
@@ -16,7 +16,7 @@
 struct CommandRow
 {
     std::string_view name;
-    int (*run)(const CommandSettings &);
+    int (*run)(const CommandSettings &); // null if main.cpp runs the command
     std::string_view help;
     std::string_view flags; // flags of the command, each with an example value
 };
@@ -44,6 +44,11 @@
                    "--model=returns --reason='false alarm'"},
         CommandRow{"version withdraw", withdrawVersion, "withdraw a version permanently",
                    "--model=returns --model_version=3 --reason='wrong totals' --yes"},
+        CommandRow{"evacuation start", nullptr,
+                   "site: send no more requests to a data centre; --server is a control VM",
+                   "--id=praha-a"},
+        CommandRow{"evacuation finish", nullptr, "site: withdraw the order", "--id=praha-a"},
+        CommandRow{"evacuation list", nullptr, "site: list the evacuated data centres", ""},
         CommandRow{"endpoint list", listEndpoints, "list the registered endpoints, always as JSON",
                    ""},
         CommandRow{"bill export", exportBills, "print all bills, one JSON line each", ""},
@@ -96,7 +101,7 @@
 {
     const std::string name = boost::algorithm::join(words, " ");
     const CommandRow *row = findCommand(name);
-    if (!row)
+    if (!row || !row->run)
         return reportUsage("unknown command '" + name + "'; see fireflyroute --help");
     const Result<CommandSettings> settings = commandSettings();
     if (!settings)
--- a/app/main/main.cpp
+++ b/app/main/main.cpp
@@ -1,5 +1,6 @@
 // Entry point of the fireflyroute binary.
 
+#include "app/command_evacuation.h"
 #include "app/commands.h"
 #include "app/serve.h"
 #include "app/settings.h"
@@ -28,5 +29,7 @@
         fmt::print(stderr, "fireflyroute: {}\n", settings.error().detail);
         return kExitUsage;
     }
+    if (isEvacuationCommand(words))
+        return runEvacuationCommand<fireflyroute::platform::Dialect>(words);
     return runCommand(words);
 }
--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -26,14 +26,15 @@
               "File with the secret shared by all processes and endpoints; empty means none");
 DEFINE_string(operator_token_file, "", "File with the operators' token; empty means none");
 
-DEFINE_string(server, "http://127.0.0.1:8080", "Commands: address of any entry");
+DEFINE_string(server, "http://127.0.0.1:8080",
+              "Commands: address of any entry; of a control VM of a site for evacuations");
 DEFINE_string(author, "", "Commands: author of the change; empty means the login name");
 DEFINE_string(reason, "", "Commands: written reason of the change");
 DEFINE_string(file, "", "Commands: file to read; - means standard input");
 DEFINE_string(model, "", "Commands: name of the model");
 DEFINE_string(model_version, "", "Commands: name of the version");
 DEFINE_string(stages, "50,200,500,1000", "Commands: roll-out stages in permille of new sessions");
-DEFINE_string(id, "", "Commands: identifier of the exception, claim or account");
+DEFINE_string(id, "", "Commands: identifier of the exception, claim, account or data centre");
 DEFINE_string(request_id, "", "Commands: only events of this request");
 DEFINE_string(endpoint, "", "Commands: only events of this endpoint");
 DEFINE_int64(from_ms, 0, "Commands: only events from this time, in milliseconds since the epoch");
--- a/app/testing/evacuation_test.py
+++ b/app/testing/evacuation_test.py
@@ -3,6 +3,7 @@
 
 import json
 import os
+import subprocess
 import sys
 import threading
 import time
@@ -10,7 +11,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from platform_stand_in import Site, call, wait_until  # noqa: E402
+from platform_stand_in import BINARY, Site, call, wait_until  # noqa: E402
 
 EVACUATION_S = 5  # from the acknowledgement of an order until entries follow it
 
@@ -30,7 +31,7 @@
 
     def leader(self, site):
         leaders = [ip for ip in site.control if site.processes[ip].poll() is None
-                   and call("GET", ip + ":8229", "/fireflyroute/Config.Read")[0] == 200]
+                   and call("GET", ip + ":8229", "/fireflyroute/Evacuations.Read")[0] == 200]
         return leaders[0] if len(leaders) == 1 else None
 
     def await_order(self, acknowledged_at):
@@ -187,6 +188,30 @@
                 site.start(ip)
             self.assertEqual(self.since(site), since)
 
+    # Guards against a command line that can't reach the leader through another control VM.
+    def test_commands_order_list_and_withdraw_by_way_of_any_control_vm(self):
+        with Site(207, entries=0) as site:
+            wait_until(lambda: self.leader(site), "a leader")
+            followers = [ip for ip in site.control if ip != self.leader(site)]
+
+            def run(verb, *flags):
+                return subprocess.run(
+                    [BINARY, "evacuation", verb, "--server=http://%s:8229" % followers[0], *flags],
+                    capture_output=True, text=True, timeout=60)
+
+            result = run("start", "--id=a")
+            self.assertEqual(result.returncode, 0, result.stderr)
+            self.assertIn("a evacuated since 2", result.stdout)
+            listed = json.loads(run("list", "--json").stdout)
+            self.assertEqual([(item["data_centre"], item["since_ms"]) for item in listed],
+                             list(self.since(site).items()))
+            self.assertIn("no data centre", run("finish", "--id=a").stdout)
+            self.assertEqual(self.since(site), {})
+            self.assertEqual(run("start").returncode, 2)
+            for ip in site.control:
+                site.kill(ip)
+            self.assertEqual(run("list", "--timeout_ms=500").returncode, 4)
+
 
 if __name__ == "__main__":
     unittest.main()
