Limit requests to cold endpoints over the whole fleet

A cold endpoint crashes if all entries of a fleet send to it at their usual rate, and no entry knows how much the others send. The leader now splits the allowance of a cold endpoint (coldPerS of its service) into parts of one request per second and grants them to entries for 2 s at a time. Entries send to a cold endpoint with a part only. Services without coldPerS are served as before, and the new message is sent only for cold endpoints.

--- a/app/proxy_request_dispatch.h
+++ b/app/proxy_request_dispatch.h
@@ -52,11 +52,15 @@
         if (const auto self = weak.lock())
             self->onPathLost();
     };
-    std::optional<EndpointExchange> exchange = plane_.path.start(
-            endpoint, meta_.id, {mayProbe, !regions_.isRestricted()}, onPathLost, now);
+    const bool isAllowed = plane_.takeColdAllowance(endpoint, now);
+    std::optional<EndpointExchange> exchange;
+    if (isAllowed) {
+        exchange = plane_.path.start(endpoint, meta_.id, {mayProbe, !regions_.isRestricted()},
+                                     onPathLost, now);
+    }
     if (!exchange) {
         excludedEndpoints_.insert(endpoint.id);
-        retryOrFail(core::AttemptOutcome::NotSent, "bad address");
+        retryOrFail(core::AttemptOutcome::NotSent, isAllowed ? "bad address" : "cold");
         return;
     }
     attempt_.emplace();
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds kRolloutLogPeriod{1000};
 constexpr std::chrono::milliseconds kCrashEvaluationPeriod{100};
 
+// How often the leader looks for endpoints that became cold or warm.
+constexpr std::chrono::milliseconds kColdEvaluationPeriod{100};
+
 // How long reported work counts. Covers several report intervals.
 constexpr std::chrono::milliseconds kWorkReportLifetime{1000};
 
@@ -42,10 +45,11 @@
 
 } // namespace
 
-Result<std::unique_ptr<SiteControl>>
-SiteControl::open(asio::io_context &io, const SiteSettings &settings, StructuredLog &log)
+Result<std::unique_ptr<SiteControl>> SiteControl::open(asio::io_context &io,
+                                                       const SiteSettings &settings,
+                                                       StructuredLog &log, ConfigDecoder decode)
 {
-    std::unique_ptr<SiteControl> control(new SiteControl(io, settings, log));
+    std::unique_ptr<SiteControl> control(new SiteControl(io, settings, log, std::move(decode)));
     SiteControl *self = control.get();
     ReplicaHooks hooks;
     hooks.apply = [self](const std::string &payload) { self->apply(payload); };
@@ -81,10 +85,12 @@
     return control;
 }
 
-SiteControl::SiteControl(asio::io_context &io, const SiteSettings &settings, StructuredLog &log)
+SiteControl::SiteControl(asio::io_context &io, const SiteSettings &settings, StructuredLog &log,
+                         ConfigDecoder decode)
     : io_(io)
     , settings_(settings)
     , log_(log)
+    , decode_(std::move(decode))
     , workExchange_(kWorkReportLifetime)
     , relayDirectory_(settings.regions, kPathReportLifetime)
 {}
@@ -111,6 +117,7 @@
     runEvery(kWorkRelayPeriod, [this] { relayWork(); });
     runEvery(kUpdateRelayPeriod, [this] { relayUpdates(); });
     runEvery(kCrashEvaluationPeriod, [this] { evaluateCrashes(); });
+    runEvery(kColdEvaluationPeriod, [this] { evaluateColdEndpoints(); });
     runEvery(kRelayUpdatePeriod, [this] { evaluateRelays(); });
     return core::outcome::success();
 }
@@ -180,6 +187,7 @@
         rolloutEvaluator_ = core::RolloutJudge();
         crashAttribution_ = core::CrashAttribution();
         relayDirectory_.forgetLists();
+        coldGrantor_.recordElected(clock_.now());
     }
 }
 
@@ -202,6 +210,7 @@
     gauge("control_endpoints", registry_.all().size());
     gauge("control_quarantined", crashAttribution_.state(clock_.now()).quarantined.size());
     gauge("control_entries_isolated", relayDirectory_.isolatedCount());
+    gauge("control_cold_endpoints", coldEndpointsNow_);
     gauge("control_relay_lists_sent_total", relayListsSent_);
     gauge("control_update_bytes_to_entries_total", updateBytesToEntries_);
     gauge("control_update_bytes_to_control_vms_total", updateBytesToControlVms_);
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -1,7 +1,7 @@
 // The control role of a site: a replica of the site's state, the registry of endpoints, and the
 // handlers for operators, endpoints, entries and other control VMs. Runs on the control thread.
 //
-//   Result<std::unique_ptr<SiteControl>> control = SiteControl::open(io, settings, log);
+//   Result<std::unique_ptr<SiteControl>> control = SiteControl::open(io, settings, log, decode);
 //   control.value()->call(call, [](core::ControlAnswer answer) { ... });
 //
 // Writes go through the replicated log and are acknowledged once committed. The leader answers
@@ -10,9 +10,12 @@
 #ifndef FIREFLYROUTE_APP_SITE_CONTROL_H
 #define FIREFLYROUTE_APP_SITE_CONTROL_H
 
+#include "app/config_decoder.h"
 #include "app/replica_driver.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
+#include "core/cold_endpoints.h"
+#include "core/cold_grants.h"
 #include "core/control_directory.h"
 #include "core/crash_attribution.h"
 #include "core/crash_watch.h"
@@ -40,8 +43,9 @@
 public:
     using AnswerCallback = std::function<void(core::ControlAnswer)>;
 
-    static Result<std::unique_ptr<SiteControl>>
-    open(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log);
+    static Result<std::unique_ptr<SiteControl>> open(boost::asio::io_context &io,
+                                                     const SiteSettings &settings,
+                                                     StructuredLog &log, ConfigDecoder decode);
 
     // Starts listening for links, connects to the other control VMs and starts the replica.
     Result<void> start();
@@ -67,7 +71,8 @@
         core::StateFeed feed; // used for entries only
     };
 
-    SiteControl(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log);
+    SiteControl(boost::asio::io_context &io, const SiteSettings &settings, StructuredLog &log,
+                ConfigDecoder decode);
 
     // Handlers of calls.
     void handleCall(const core::ReplaceConfigCall &call, const AnswerCallback &callback);
@@ -102,6 +107,7 @@
     void handleMessage(Peer & /*peer*/, const core::StateUpdate & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::QuarantineState & /*message*/) {}
     void handleMessage(Peer & /*peer*/, const core::RelayList & /*message*/) {}
+    void handleMessage(Peer & /*peer*/, const core::ColdGrants & /*message*/) {}
 
     // State and links.
     void onDisconnected(net::FrameLink &link);
@@ -123,11 +129,13 @@
     void evaluateRollouts();
     void logRollouts();
     void evaluateCrashes();
+    void evaluateColdEndpoints();
     void expireSoftState();
 
     boost::asio::io_context &io_;
     SiteSettings settings_;
     StructuredLog &log_;
+    const ConfigDecoder decode_;
     BootClock clock_;
     core::SiteState state_; // result of all applied commands
     core::ControlDirectory directory_;
@@ -137,6 +145,11 @@
     core::WorkExchange workExchange_;
     core::UpdateRelay updateRelay_;
     core::RelayDirectory relayDirectory_;
+    core::ColdEndpoints coldEndpoints_; // observed on all control VMs, for the next leader
+    core::ColdGrantor coldGrantor_{core::kColdGrantLifetime}; // used by the leader
+    std::shared_ptr<const core::SiteTable> table_; // of the last valid document; null before
+    std::uint64_t tableVersion_ = 0; // of the last document that was decoded
+    std::uint64_t coldEndpointsNow_ = 0; // for which the leader grants allowances
     std::unique_ptr<ReplicaDriver> driver_; // set by open()
     std::map<net::FrameLink *, Peer> incomingLinks_;
     std::map<core::VmId, std::shared_ptr<net::FrameLink>> outgoingLinks_; // the other control VMs
--- a/app/site_control_endpoints.cpp
+++ b/app/site_control_endpoints.cpp
@@ -17,6 +17,10 @@
 // about them are recognised.
 constexpr std::chrono::seconds kRecordRetention{60};
 
+// How much longer than entries the leader takes an endpoint for cold. An entry that starts later
+// takes it for cold from the time that it first sees it.
+constexpr std::chrono::seconds kColdMargin{10};
+
 } // namespace
 
 void SiteControl::handleCall(const core::HeartbeatCall &call, const AnswerCallback &callback)
@@ -105,4 +109,37 @@
     sendToEntries(state);
 }
 
+void SiteControl::evaluateColdEndpoints()
+{
+    const core::ConfigDocument &document = state_.data().document;
+    if (document.version != tableVersion_) {
+        tableVersion_ = document.version;
+        if (auto config = decode_(document.bytes))
+            table_ = std::make_shared<const core::SiteTable>(std::move(config));
+    }
+    const core::Instant now = clock_.now();
+    std::vector<core::ColdEndpointAllowance> cold;
+    std::set<core::EndpointId> limited;
+    const bool hasLimit =
+            table_
+            && std::any_of(table_->config().services.begin(), table_->config().services.end(),
+                           [](const core::Service &service) { return service.coldPerSecond > 0; });
+    if (hasLimit) {
+        for (const core::EndpointRecord &record : registry_.all()) {
+            const core::Service *service = table_->service(record.service);
+            const bool isLimited = service && service->coldPerSecond > 0
+                                   && record.state == core::EndpointRecordState::Ready;
+            if (!isLimited)
+                continue;
+            limited.insert(record.id);
+            coldEndpoints_.observe(record, now, clock_.wallNow());
+            if (coldEndpoints_.isCold(record.id, service->coldStart + kColdMargin, now))
+                cold.push_back({record.id, core::coldParts(service->coldPerSecond)});
+        }
+    }
+    coldEndpoints_.retain(limited);
+    coldEndpointsNow_ = cold.size();
+    coldGrantor_.setEndpoints(std::move(cold), now);
+}
+
 } // namespace fireflyroute::app
--- a/app/site_control_links.cpp
+++ b/app/site_control_links.cpp
@@ -79,7 +79,14 @@
     reply.authoritative = driver_->hasLease();
     for (const core::Member &member : driver_->replica().membership().members)
         reply.controlVms.push_back(member.id.vm);
-    peer.link->send(net::encodeMessage(reply));
+    core::ColdGrants grants;
+    if (reply.authoritative && peer.isEntry)
+        grants = coldGrantor_.grantTo(peer.vm, message.nonce, message.isolated, clock_.now());
+    // A link that is closed while sending leaves incomingLinks_, and its peer with it.
+    const std::shared_ptr<net::FrameLink> link = peer.link;
+    link->send(net::encodeMessage(reply));
+    if (!grants.grants.empty())
+        link->send(net::encodeMessage(grants));
 }
 
 void SiteControl::handleMessage(Peer &peer, const core::StateRequest &message)
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -11,6 +11,7 @@
 #ifndef FIREFLYROUTE_APP_SITE_ENTRY_H
 #define FIREFLYROUTE_APP_SITE_ENTRY_H
 
+#include "app/config_decoder.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
 #include "app/system_clock.h"
@@ -33,9 +34,6 @@
 
 namespace fireflyroute::app {
 
-// Decodes a configuration document. Returns null if it is invalid.
-using ConfigDecoder = std::function<std::shared_ptr<const core::SiteConfig>(std::string_view)>;
-
 struct EntryOutputs
 {
     std::function<void(std::shared_ptr<const core::SiteView>)> viewChanged;
@@ -44,6 +42,8 @@
     std::function<void(core::EntryUpdate)> peerUpdatesReceived;
     std::function<void(core::QuarantineState)> quarantineChanged;
     std::function<void(std::vector<core::VmId>)> relaysChanged; // best first
+    // Grants for cold endpoints, and when their probe was sent.
+    std::function<void(core::ColdGrants, core::Instant)> coldGrantsReceived;
 };
 
 class SiteEntry
@@ -105,6 +105,11 @@
         outputs_.quarantineChanged(message);
     }
     void handleMessage(const core::VmId &vm, const core::RelayList &message);
+    void handleMessage(const core::VmId & /*vm*/, const core::ColdGrants &message)
+    {
+        if (const auto sentAt = freshness_.probeSentAt(message.nonce))
+            outputs_.coldGrantsReceived(message, *sentAt);
+    }
     template<typename Other>
     void handleMessage(const core::VmId & /*vm*/, const Other & /*message*/)
     {}
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -40,6 +40,14 @@
 template<typename D>
 concept SiteDialect = TrafficDialect<D> && ControlDialect<D>;
 
+// The ConfigDecoder of a dialect.
+template<ControlDialect Dialect>
+std::shared_ptr<const core::SiteConfig> decodeConfigWith(std::string_view document)
+{
+    const auto config = Dialect::decodeConfig(document);
+    return config ? config.value() : nullptr;
+}
+
 // Interval of outcome reports while a roll-out is in progress.
 constexpr std::chrono::milliseconds kOutcomeReportPeriod{300};
 
@@ -78,7 +86,7 @@
         , log_(log)
         , workGuard_(boost::asio::make_work_guard(trafficIo_))
         , plane_(trafficIo_, settings, log)
-        , entry_(io, settings, log, decodeConfig, outputs())
+        , entry_(io, settings, log, decodeConfigWith<Dialect>, outputs())
         , outcomeTimer_(io)
         , expiryTimer_(trafficIo_)
         , workTimer_(trafficIo_)
@@ -148,12 +156,6 @@
     }
 
 private:
-    static std::shared_ptr<const core::SiteConfig> decodeConfig(std::string_view document)
-    {
-        const auto config = Dialect::decodeConfig(document);
-        return config ? config.value() : nullptr;
-    }
-
     EntryOutputs outputs()
     {
         EntryOutputs outputs;
@@ -186,6 +188,11 @@
                 plane_.path.setRelays(relays);
             });
         };
+        outputs.coldGrantsReceived = [this](core::ColdGrants grants, core::Instant probeSentAt) {
+            boost::asio::post(trafficIo_, [this, grants = std::move(grants), probeSentAt] {
+                plane_.coldAllowance.applyGrants(grants, probeSentAt, clock_.now());
+            });
+        };
         return outputs;
     }
 
@@ -327,7 +334,8 @@
 
     Result<void> start()
     {
-        BOOST_OUTCOME_TRY(control, SiteControl::open(io_, settings_, log_));
+        BOOST_OUTCOME_TRY(control,
+                          SiteControl::open(io_, settings_, log_, decodeConfigWith<Dialect>));
         control_ = std::move(control);
         BOOST_OUTCOME_TRYV(control_->start());
         const auto callSessions = net::acceptSessions(
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -89,9 +89,11 @@
     for (const auto &[service, endpoints] : next->endpoints) {
         for (const core::EndpointRecord &endpoint : endpoints) {
             remaining.insert(endpoint.id);
+            coldEndpoints.observe(endpoint, clock.now(), clock.wallNow());
             endpointsByAddress_.insert_or_assign(endpoint.address, endpoint.id);
         }
     }
+    coldEndpoints.retain(remaining);
     path.setEndpointCount(remaining.size());
     for (const auto &[service, endpoints] : view->endpoints) {
         for (const core::EndpointRecord &endpoint : endpoints) {
@@ -108,7 +110,7 @@
 std::vector<const core::EndpointRecord *>
 TrafficPlane::candidates(const core::ServiceName &service, const core::VersionGate &gate,
                          const core::RegionPolicy &regions,
-                         const std::set<core::EndpointId> &excluded, core::Instant now) const
+                         const std::set<core::EndpointId> &excluded, core::Instant now)
 {
     std::vector<const core::EndpointRecord *> usable;
     std::vector<const core::EndpointRecord *> suspected;
@@ -122,6 +124,10 @@
                 && core::mayServe(view->evacuations, endpoint) && !excluded.contains(endpoint.id);
         if (!isAllowed)
             continue;
+        if (isLimitedAsCold(endpoint, now) && !coldAllowance.allows(endpoint.id, now)) {
+            ++counts.coldHeldBack;
+            continue;
+        }
         const std::optional<core::Instant> lastSuccess = monitor.lastSuccessAt(endpoint.id);
         const bool isTimedOut =
                 endpoint.unresponsive && !(lastSuccess && now - *lastSuccess < kRecentAnswerWindow);
@@ -164,6 +170,25 @@
     return found != view->endpoints.end() && core::isEvacuated(view->evacuations, found->second);
 }
 
+bool TrafficPlane::isLimitedAsCold(const core::EndpointRecord &endpoint, core::Instant now) const
+{
+    const core::Service *service = view->table ? view->table->service(endpoint.service) : nullptr;
+    return service && service->coldPerSecond > 0
+           && coldEndpoints.isCold(endpoint.id, service->coldStart, now);
+}
+
+bool TrafficPlane::takeColdAllowance(const core::EndpointRecord &endpoint, core::Instant now)
+{
+    if (!isLimitedAsCold(endpoint, now))
+        return true;
+    if (!coldAllowance.take(endpoint.id, now)) {
+        ++counts.coldHeldBack;
+        return false;
+    }
+    ++counts.coldSent;
+    return true;
+}
+
 TrafficPlane::Budgets &TrafficPlane::budgetsOf(const core::ServiceName &service)
 {
     const auto found = budgets_.find(service);
@@ -355,6 +380,9 @@
     counter("pauses_total", counts.pauses);
     counter("escalated_total", counts.escalated);
     counter("region_refusals_total", counts.regionRefused);
+    counter("cold_attempts_total", counts.coldSent);
+    counter("cold_held_back_total", counts.coldHeldBack);
+    counter("cold_parts", coldAllowance.partsHeld(clock.now()));
     counter("connections_opened_total", pool.opened());
     counter("connections_reused_total", pool.reused());
     counter("revision", view->revision);
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -9,6 +9,9 @@
 #include "app/request_histograms.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
+#include "core/cold_allowance.h"
+#include "core/cold_endpoints.h"
+#include "core/cold_grants.h"
 #include "core/crash_watch.h"
 #include "core/endpoint_monitor.h"
 #include "core/endpoint_pick.h"
@@ -49,6 +52,8 @@
     std::uint64_t pauses = 0; // of endpoints whose callers received too slowly
     std::uint64_t escalated = 0; // answers replaced by one of a larger model
     std::uint64_t regionRefused = 0; // restricted requests that no allowed endpoint could take
+    std::uint64_t coldSent = 0; // attempts at cold endpoints
+    std::uint64_t coldHeldBack = 0; // times that a cold endpoint was not eligible for an attempt
 };
 
 // Timing of a successful answer.
@@ -80,11 +85,14 @@
 
     // Returns the endpoints that are eligible for an attempt; those that the monitor considers
     // unusable only if there are no others. Every endpoint that a request is sent to is one of
-    // these.
+    // these. Cold ones are not eligible without an allowance.
     [[nodiscard]] std::vector<const core::EndpointRecord *>
     candidates(const core::ServiceName &service, const core::VersionGate &gate,
                const core::RegionPolicy &regions, const std::set<core::EndpointId> &excluded,
-               core::Instant now) const;
+               core::Instant now);
+
+    // Takes an attempt from the allowance of the endpoint if it is cold. False if none is left.
+    [[nodiscard]] bool takeColdAllowance(const core::EndpointRecord &endpoint, core::Instant now);
 
     // Records that a restricted request is refused, since no allowed endpoint can take it.
     void recordRegionRefusal(const core::RequestId &request, const std::string &route,
@@ -164,6 +172,8 @@
     core::SessionPins pins;
     core::PromptIndex prompts;
     core::CrashWatch crashWatch;
+    core::ColdEndpoints coldEndpoints;
+    core::ColdAllowance coldAllowance{core::kColdGrantLifetime};
     EndpointPool pool;
     EndpointPath path;
     std::shared_ptr<const net::TunnelGroup> tunnels; // to endpoints for other entries; may be null
@@ -183,6 +193,10 @@
         core::RetryBudget escalations;
     };
 
+    // Whether requests to the endpoint are limited now.
+    [[nodiscard]] bool isLimitedAsCold(const core::EndpointRecord &endpoint,
+                                       core::Instant now) const;
+
     Budgets &budgetsOf(const core::ServiceName &service);
 
     std::map<core::ServiceName, Budgets> budgets_;
--- /dev/null
+++ b/core/cold_endpoints.h
@@ -0,0 +1,49 @@
+// Which endpoints are cold: started recently, or reporting that they are cold. Used by entries,
+// which limit the requests to cold endpoints, and by the leader, which grants the allowances.
+//
+//   ColdEndpoints endpoints;
+//   endpoints.observe(record, now, wallNow);        // each record of each view
+//   endpoints.retain(ids);                          // drops the others
+//   if (endpoints.isCold(record.id, service.coldStart, now)) ...
+
+#ifndef FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
+#define FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
+
+#include "core/clock.h"
+#include "core/endpoint_registry.h"
+#include "core/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace fireflyroute::core {
+
+class ColdEndpoints
+{
+public:
+    // Records that were observed before have no effect.
+    void observe(const EndpointRecord &record, Instant now, WallTime wallNow);
+
+    void retain(const std::set<EndpointId> &ids);
+
+    // Whether the endpoint is cold. One that was never observed is cold.
+    [[nodiscard]] bool isCold(const EndpointId &id, Duration coldStart, Instant now) const;
+
+private:
+    struct Observed
+    {
+        std::uint64_t startedAtMs = 0;
+        std::uint64_t sequence = 0;
+        Instant firstSeenAt; // of this incarnation
+        std::optional<Duration> ageWhenSeen; // by the wall clocks; empty if not reported
+        Instant reportedUntil; // end of the cold period according to the last report
+    };
+
+    std::unordered_map<EndpointId, Observed> observed_;
+};
+
+} // namespace fireflyroute::core
+
+#endif
--- a/core/config_currency.h
+++ b/core/config_currency.h
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace fireflyroute::core {
 
@@ -34,6 +35,13 @@
             probeSentAt_.erase(probeSentAt_.begin());
     }
 
+    // When the probe was sent; empty if it is unknown or too old.
+    [[nodiscard]] std::optional<Instant> probeSentAt(std::uint64_t nonce) const
+    {
+        const auto probe = probeSentAt_.find(nonce);
+        return probe == probeSentAt_.end() ? std::nullopt : std::optional(probe->second);
+    }
+
     // Handles the reply of a leader. `newestRevision` is the newest revision according to the reply
     // and `heldRevision` is the revision that the entry holds now.
     void replyReceived(std::uint64_t nonce, std::uint64_t newestRevision,
--- a/core/endpoint_registry.cpp
+++ b/core/endpoint_registry.cpp
@@ -15,6 +15,17 @@
     return left == right;
 }
 
+// Whether the record reports a later end of the warm-up than the one before, which other processes
+// count down from.
+bool extendsWarmup(std::uint32_t previousMs, Duration sincePrevious, std::uint32_t reportedMs)
+{
+    // Covers different delays of two reports.
+    constexpr std::chrono::milliseconds kTolerance{100};
+    const Duration expected = std::chrono::milliseconds(previousMs) - sincePrevious;
+    const Duration reported = std::chrono::milliseconds(reportedMs);
+    return reportedMs > 0 && reported > expected + kTolerance;
+}
+
 } // namespace
 
 RegistryChange EndpointRegistry::apply(const EndpointRecord &record, Instant now)
@@ -44,7 +55,9 @@
                                         Instant now)
 {
     const bool isNewIncarnation = record.startedAtMs != registration.record.startedAtMs;
-    const bool isSame = hasSameContent(registration.record, record);
+    const bool isSame = hasSameContent(registration.record, record)
+                        && !extendsWarmup(registration.record.warmupMs,
+                                          now - registration.lastSeenAt, record.warmupMs);
     registration.record = record;
     registration.lastSeenAt = now;
     registration.receivedAt = now;
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -93,6 +93,8 @@
     std::uint64_t cacheTokens = 0; // cache size of an endpoint, in tokens; 0 for a plain service
     std::uint32_t eventTokens = 1; // tokens in one event of a stream
     std::vector<ModelCost> models;
+    Duration coldStart{}; // how long an endpoint is cold after its start
+    double coldPerSecond = 0; // requests that a cold endpoint tolerates; 0 means no limit
 
     bool operator==(const Service &) const = default;
 };
--- a/core/site_messages.h
+++ b/core/site_messages.h
@@ -202,10 +202,29 @@
     bool operator==(const RelayList &) const = default;
 };
 
+// Parts of the allowance of a cold endpoint; see core/cold_grants.h.
+struct ColdGrant
+{
+    EndpointId endpoint;
+    std::uint32_t parts = 0; // each permits one request per second
+
+    bool operator==(const ColdGrant &) const = default;
+};
+
+// From the leader to an entry, in answer to a probe. Sent only if it is not empty, since earlier
+// versions can't decode it.
+struct ColdGrants
+{
+    std::uint64_t nonce = 0; // of the probe, from whose sending the grants are valid
+    std::vector<ColdGrant> grants;
+
+    bool operator==(const ColdGrants &) const = default;
+};
+
 using SiteMessage =
         std::variant<Handshake, FreshnessProbe, FreshnessReply, StateUpdate, EndpointUpdate,
                      OutcomeReport, WorkReport, ReplicaMessage, EntryUpdate, StateAnnouncement,
-                     StateRequest, CrashReport, QuarantineState, RelayList>;
+                     StateRequest, CrashReport, QuarantineState, RelayList, ColdGrants>;
 
 } // namespace fireflyroute::core
 
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -332,6 +332,18 @@
     archive(message.relays);
 }
 
+template<class Archive>
+void serialize(Archive &archive, ColdGrant &record)
+{
+    archive(record.endpoint, record.parts);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ColdGrants &message)
+{
+    archive(message.nonce, message.grants);
+}
+
 } // namespace cereal
 
 namespace fireflyroute::net {
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -207,6 +207,14 @@
     BOOST_TEST((std::get<core::RelayList>(read.value()) == list));
 }
 
+BOOST_AUTO_TEST_CASE(grants_for_cold_endpoints_round_trip)
+{
+    const core::ColdGrants grants{7, {{core::EndpointId("e1"), 2}}};
+    const auto read = net::decodeMessage(net::encodeMessage(grants));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((std::get<core::ColdGrants>(read.value()) == grants));
+}
+
 BOOST_AUTO_TEST_CASE(announcements_and_requests_of_the_state_round_trip)
 {
     const auto announcement =
