--- a/app/testing/site_test.py
+++ b/app/testing/site_test.py
@@ -338,6 +338,66 @@
             self.assertEqual(changes, [("127.23.2.9", path, isolated) for path, isolated in
                                        (("isolated", 1), ("connected", 0), ("isolated", 1))])
 
+    # Guards against entries that together send a cold worker more than it tolerates, after its start and
+    # when it turns cold again, and against entries that leave it unused.
+    def test_cold_worker_gets_no_more_than_its_allowance(self):
+        cold_per_s, cold_s = 4, 5
+
+        def limit(config):
+            config["services"][0].update(coldStartS=cold_s, coldPerS=cold_per_s)
+
+        def most_in_one_second(times):
+            return max((sum(1 for other in times if at <= other <= at + 1) for at in times),
+                       default=0)
+
+        with Site(61, entries=2) as site:
+            site.configure(1, change=limit)
+            wait_until(lambda: all(site.is_ready(entry) for entry in (0, 1)), "entries are ready")
+            worker = site.worker("i-1", "ledger")
+            started, statuses, over = time.monotonic(), [], threading.Event()
+
+            def send(entry):
+                number = 0
+                while not over.is_set():
+                    number += 1
+                    name = "c%d-%d-%d" % (entry, threading.get_ident(), number)
+                    fields = {"Fireflyroute-Request-Id": name}
+                    status, headers, _ = site.request("/calls/1", entry=entry, headers=fields)
+                    statuses.append((status, "Retry-After" in headers))
+                    time.sleep(0.02)
+
+            callers = [threading.Thread(target=send, args=(entry,)) for entry in (0, 1)
+                       for _ in range(3)]
+            for caller in callers:
+                caller.start()
+            try:
+                # Warm, it gets more than the allowance.
+                def is_in_full_use():
+                    recent = time.monotonic() - 1
+                    return sum(1 for at in worker.run_times if at > recent) > 6 * cold_per_s
+
+                wait_until(is_in_full_use, "the warm worker is in full use")
+                worker.cold_until = time.monotonic() + cold_s
+                # The entries learn of it by the next heartbeat.
+                time.sleep(1.5)
+                told = time.monotonic()
+                wait_until(lambda: time.monotonic() > worker.cold_until, "the worker is warm")
+                wait_until(is_in_full_use, "the worker is in full use again")
+            finally:
+                over.set()
+                for caller in callers:
+                    caller.join()
+            for begin, end in ((started, started + cold_s), (told, worker.cold_until)):
+                times = [at for at in worker.run_times if begin <= at <= end]
+                self.assertGreater(len(times), 0)
+                self.assertLessEqual(most_in_one_second(times), cold_per_s * 1.5 + 5)
+            self.assertEqual({status for status, _ in statuses}, {200, 503})
+            self.assertTrue(all(has_pause for status, has_pause in statuses if status == 503))
+            sent = sum(site.entry_metric("entry_cold_attempts_total", entry) for entry in (0, 1))
+            self.assertGreater(sent, 0)
+            for entry in (0, 1):
+                self.assertGreater(site.entry_metric("entry_cold_held_back_total", entry), 0)
+
     # Guards against prompts with one part that crashes workers being sent to one worker after another.
     def test_prompt_part_that_crashes_workers_stops_reaching_them(self):
         with Site(20, entries=2) as site:
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -82,7 +82,9 @@
         self.full_until = 0  # rejects requests until this time of the monotonic clock
         self.stale_writes = 0  # repetitions of an earlier response
         self.state, self.sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
+        self.cold_until = 0  # reports that it is cold until this time of the monotonic clock
         self.runs = []  # (request id, path, headers) of each executed request
+        self.run_times = []  # of the monotonic clock, of each executed request
         worker = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -112,7 +114,8 @@
     def send_heartbeat(self, ip):
         self.sequence += 1
         body = {"service": self.service, "address": self.address, "zone": self.zone,
-                "version": self.version, "slots": 8, "state": self.state, "coldRemainingMs": 0,
+                "version": self.version, "slots": 8, "state": self.state,
+                "coldRemainingMs": max(0, int((self.cold_until - time.monotonic()) * 1000)),
                 "sequence": self.sequence, "born": self.started_at_ms}
         try:
             call("POST", ip + ":8229", "/fireflyroute/Instances.Heartbeat/" + self.name,
@@ -179,6 +182,7 @@
                        ("by " + self.name).encode())
 
     def record_run(self, request):
+        self.run_times.append(time.monotonic())
         self.runs.append((request.headers["Fireflyroute-Request-Id"], request.path,
                           dict(request.headers)))
 
