--- a/app/proxy_request_resume.h
+++ b/app/proxy_request_resume.h
@@ -77,7 +77,7 @@
     const bool isRefused = failure.error == net::ExchangeError::ConnectFailed
                            && !attempt_->exchange.connection->isRelayed();
     if (isRefused)
-        plane_.monitor.recordConnectionRefusal(attempt_->endpoint.id);
+        plane_.recordConnectionRefusal(attempt_->endpoint.id);
     failAttempt(outcome, core::nameOf(failure.error), !failure.mayHaveReachedPeer);
 }
 
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -189,6 +189,12 @@
     return true;
 }
 
+void TrafficPlane::recordConnectionRefusal(const core::EndpointId &endpoint)
+{
+    monitor.recordConnectionRefusal(endpoint);
+    coldEndpoints.recordConnectionRefusal(endpoint, clock.now());
+}
+
 TrafficPlane::Budgets &TrafficPlane::budgetsOf(const core::ServiceName &service)
 {
     const auto found = budgets_.find(service);
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -101,6 +101,9 @@
     // Whether the service has endpoints, all of them in evacuated data centres.
     [[nodiscard]] bool isEvacuated(const core::ServiceName &service) const;
 
+    // The endpoint refused a connection on the direct path.
+    void recordConnectionRefusal(const core::EndpointId &endpoint);
+
     void recordRequest(const core::ServiceName &service, core::Instant now);
     [[nodiscard]] bool tryRetry(const core::ServiceName &service, core::Instant now);
 
--- a/core/cold_endpoints.cpp
+++ b/core/cold_endpoints.cpp
@@ -18,7 +18,8 @@
     Observed &observed = found->second;
     const bool isNewIncarnation = isNew || observed.startedAtMs != record.startedAtMs;
     if (isNewIncarnation) {
-        observed = Observed{record.startedAtMs, record.sequence, now, std::nullopt, now};
+        observed =
+                Observed{record.startedAtMs, record.sequence, now, std::nullopt, std::nullopt, now};
         const WallTime startedAt{std::chrono::milliseconds(record.startedAtMs)};
         if (record.startedAtMs != 0 && startedAt <= wallNow)
             observed.ageWhenSeen = wallNow - startedAt;
@@ -29,6 +30,13 @@
     observed.reportedUntil = now + std::chrono::milliseconds(record.warmupMs);
 }
 
+void ColdEndpoints::recordConnectionRefusal(const EndpointId &id, Instant now)
+{
+    const auto found = observed_.find(id);
+    if (found != observed_.end())
+        found->second.refusedAt = now;
+}
+
 void ColdEndpoints::retain(const std::set<EndpointId> &ids)
 {
     std::erase_if(observed_, [&](const auto &item) { return !ids.contains(item.first); });
@@ -43,7 +51,8 @@
     const bool isWarmByAge =
             observed.ageWhenSeen && *observed.ageWhenSeen >= coldStart + kClockTolerance;
     const bool hasJustStarted = !isWarmByAge && now < observed.firstSeenAt + coldStart;
-    return hasJustStarted || now < observed.reportedUntil;
+    const bool mayRestart = observed.refusedAt && now < *observed.refusedAt + coldStart;
+    return hasJustStarted || mayRestart || now < observed.reportedUntil;
 }
 
 } // namespace fireflyroute::core
--- a/core/cold_endpoints.h
+++ b/core/cold_endpoints.h
@@ -4,6 +4,7 @@
 //   ColdEndpoints endpoints;
 //   endpoints.observe(record, now, wallNow);        // each record of each view
 //   endpoints.retain(ids);                          // drops the others
+//   endpoints.recordConnectionRefusal(id, now);
 //   if (endpoints.isCold(record.id, service.coldStart, now)) ...
 
 #ifndef FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
@@ -26,6 +27,10 @@
     // Records that were observed before have no effect.
     void observe(const EndpointRecord &record, Instant now, WallTime wallNow);
 
+    // A connection was refused, so no process runs there. The next one is cold, and its report may
+    // be late or lost.
+    void recordConnectionRefusal(const EndpointId &id, Instant now);
+
     void retain(const std::set<EndpointId> &ids);
 
     // Whether the endpoint is cold. One that was never observed is cold.
@@ -38,6 +43,7 @@
         std::uint64_t sequence = 0;
         Instant firstSeenAt; // of this incarnation
         std::optional<Duration> ageWhenSeen; // by the wall clocks; empty if not reported
+        std::optional<Instant> refusedAt; // last refusal of a connection
         Instant reportedUntil; // end of the cold period according to the last report
     };
 
--- a/core/testing/cold_allowance_test.cpp
+++ b/core/testing/cold_allowance_test.cpp
@@ -120,6 +120,9 @@
     endpoints.observe(recordOf(5s, 0, 1), kStart + 5s, kWallStart);
     BOOST_TEST(endpoints.isCold(kEndpoint, 3s, kStart + 7999ms));
     BOOST_TEST(!endpoints.isCold(kEndpoint, 3s, kStart + 8s));
+    endpoints.recordConnectionRefusal(kEndpoint, kStart + 20s);
+    BOOST_TEST(endpoints.isCold(kEndpoint, 3s, kStart + 22999ms));
+    BOOST_TEST(!endpoints.isCold(kEndpoint, 3s, kStart + 23s));
     endpoints.retain({});
     BOOST_TEST(endpoints.isCold(kEndpoint, 3s, kStart + 9s));
 }
--- a/core/testing/endpoint_registry_test.cpp
+++ b/core/testing/endpoint_registry_test.cpp
@@ -33,6 +33,25 @@
 
 } // namespace
 
+// Guards against entries that aren't told that an endpoint has turned cold, or stays so for longer.
+BOOST_AUTO_TEST_CASE(later_end_of_the_warmup_is_a_change)
+{
+    EndpointRegistry registry;
+    EndpointRecord record;
+    record.id = EndpointId("warming");
+    record.address = "10.9.0.1:80";
+    const auto report = [&](std::uint32_t warmupMs, std::chrono::milliseconds at) {
+        ++record.sequence;
+        record.warmupMs = warmupMs;
+        return registry.apply(record, Instant{1h} + at);
+    };
+    BOOST_TEST((report(2000, 0ms) == RegistryChange::Changed));
+    BOOST_TEST((report(800, 1200ms) == RegistryChange::Refreshed));
+    BOOST_TEST((report(0, 2400ms) == RegistryChange::Refreshed));
+    BOOST_TEST((report(500, 3600ms) == RegistryChange::Changed));
+    BOOST_TEST((report(500, 4800ms) == RegistryChange::Changed));
+}
+
 BOOST_AUTO_TEST_CASE(reports_are_ordered_by_sequence_not_by_arrival)
 {
     EndpointRegistry registry;
