Choose the owners of cold endpoints at most once per evaluation

At the start of a site each new entry made the leader choose the owners of all cold endpoints again.

--- a/core/cold_grants.cpp
+++ b/core/cold_grants.cpp
@@ -22,7 +22,7 @@
     grantsFrom_ = now + lifetime_;
     holds_.clear();
     entries_.clear();
-    ownersAreCurrent_ = false;
+    entriesChanged_ = true;
 }
 
 void ColdGrantor::setEndpoints(std::vector<ColdEndpointAllowance> endpoints, Instant now)
@@ -32,19 +32,22 @@
         it = it->second.empty() ? holds_.erase(it) : std::next(it);
     }
     const std::size_t lost = std::erase_if(
-            entries_, [&](const auto &item) { return now - item.second > lifetime_; });
-    if (endpoints == endpoints_ && lost == 0)
+            entries_, [&](const auto &item) { return now - item.second.probedAt > lifetime_; });
+    if (endpoints == endpoints_ && lost == 0 && !entriesChanged_)
         return;
     endpoints_ = std::move(endpoints);
-    ownersAreCurrent_ = false;
+    chooseOwners();
 }
 
 void ColdGrantor::recordProbe(const VmId &entry, bool isIsolated, Instant now)
 {
-    const bool hasChanged =
-            isIsolated ? entries_.erase(entry) > 0 : entries_.insert_or_assign(entry, now).second;
-    if (hasChanged)
-        ownersAreCurrent_ = false;
+    if (isIsolated) {
+        entriesChanged_ |= entries_.erase(entry) > 0;
+        return;
+    }
+    const auto [found, isNew] = entries_.try_emplace(entry, Entry{hashText(entry.value()), now});
+    found->second.probedAt = now;
+    entriesChanged_ |= isNew;
 }
 
 // Rendezvous hashing spreads the endpoints evenly over the entries, and a change of one entry moves
@@ -57,8 +60,8 @@
     for (const ColdEndpointAllowance &allowance : endpoints_) {
         const std::uint64_t endpointHash = hashText(allowance.endpoint.value());
         scored.clear();
-        for (const auto &[entry, probedAt] : entries_)
-            scored.emplace_back(mixBits(endpointHash ^ hashText(entry.value())), &entry);
+        for (const auto &[vm, entry] : entries_)
+            scored.emplace_back(mixBits(endpointHash ^ entry.hash), &vm);
         const std::size_t count = std::min<std::size_t>(allowance.parts, scored.size());
         std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
                           scored.end());
@@ -68,7 +71,7 @@
             owners.emplace(*scored[i].second, static_cast<std::uint32_t>(parts));
         }
     }
-    ownersAreCurrent_ = true;
+    entriesChanged_ = false;
 }
 
 // Drops expired holds. An entry may still use the largest of its holds that have not expired.
@@ -91,11 +94,9 @@
                                 Instant now)
 {
     recordProbe(entry, isIsolated, now);
-    if (!ownersAreCurrent_)
-        chooseOwners();
     ColdGrants grants;
     grants.nonce = nonce;
-    if (now < grantsFrom_)
+    if (isIsolated || now < grantsFrom_)
         return grants;
     for (const ColdEndpointAllowance &allowance : endpoints_) {
         const auto &owners = owners_[allowance.endpoint];
--- a/core/cold_grants.h
+++ b/core/cold_grants.h
@@ -50,7 +50,8 @@
 
     void recordElected(Instant now);
 
-    // Replaces the list of cold endpoints, and forgets entries that send no more probes.
+    // Replaces the list of cold endpoints, forgets entries that send no more probes, and chooses
+    // which entries are to get parts.
     void setEndpoints(std::vector<ColdEndpointAllowance> endpoints, Instant now);
 
     // Answers the probe of an entry. An entry without a path to the endpoints gets no parts.
@@ -64,6 +65,12 @@
         Instant until;
     };
 
+    struct Entry
+    {
+        std::uint64_t hash = 0; // of its name
+        Instant probedAt; // last probe
+    };
+
     using Holds = std::map<VmId, std::vector<Hold>>; // of one endpoint
 
     void recordProbe(const VmId &entry, bool isIsolated, Instant now);
@@ -74,9 +81,9 @@
     Duration lifetime_;
     Instant grantsFrom_; // grants of earlier leaders have expired
     std::vector<ColdEndpointAllowance> endpoints_;
-    std::map<VmId, Instant> entries_; // time of the last probe
+    std::map<VmId, Entry> entries_;
     std::unordered_map<EndpointId, std::map<VmId, std::uint32_t>> owners_; // intended parts
-    bool ownersAreCurrent_ = true; // for endpoints_ and entries_
+    bool entriesChanged_ = false; // since owners_ were chosen
     std::unordered_map<EndpointId, Holds> holds_; // granted parts, also of endpoints now warm
 };
 
--- a/core/testing/cold_allowance_test.cpp
+++ b/core/testing/cold_allowance_test.cpp
@@ -91,18 +91,23 @@
 {
     ColdGrantor grantor(2s);
     grantor.recordElected(kStart);
-    grantor.setEndpoints({{kEndpoint, 2}}, kStart);
     const VmId first("10.0.0.1");
     const VmId second("10.0.0.2");
-    BOOST_TEST(partsOf(grantor.grantTo(first, 1, false, kStart + 1999ms)) == 0U);
-    BOOST_TEST(partsOf(grantor.grantTo(first, 2, false, kStart + 2s)) == 2U);
-    BOOST_TEST(partsOf(grantor.grantTo(second, 1, false, kStart + 3s)) == 0U);
-    BOOST_TEST(partsOf(grantor.grantTo(first, 3, false, kStart + 3s)) == 1U);
-    BOOST_TEST(partsOf(grantor.grantTo(second, 2, false, kStart + 3999ms)) == 0U);
-    BOOST_TEST(partsOf(grantor.grantTo(second, 3, false, kStart + 4s)) == 1U);
-    BOOST_TEST(partsOf(grantor.grantTo(first, 4, true, kStart + 4s)) == 0U);
-    BOOST_TEST(partsOf(grantor.grantTo(second, 4, false, kStart + 4900ms)) == 1U);
-    BOOST_TEST(partsOf(grantor.grantTo(second, 5, false, kStart + 5s)) == 2U);
+    const auto partsAt = [&](const VmId &entry, std::uint64_t nonce, std::chrono::milliseconds at,
+                             bool isIsolated = false) {
+        (void)grantor.grantTo(entry, nonce, isIsolated, kStart + at);
+        grantor.setEndpoints({{kEndpoint, 2}}, kStart + at);
+        return partsOf(grantor.grantTo(entry, nonce, isIsolated, kStart + at));
+    };
+    BOOST_TEST(partsAt(first, 1, 1999ms) == 0U);
+    BOOST_TEST(partsAt(first, 2, 2s) == 2U);
+    BOOST_TEST(partsAt(second, 1, 3s) == 0U);
+    BOOST_TEST(partsAt(first, 3, 3s) == 1U);
+    BOOST_TEST(partsAt(second, 2, 3999ms) == 0U);
+    BOOST_TEST(partsAt(second, 3, 4s) == 1U);
+    BOOST_TEST(partsAt(first, 4, 4s, true) == 0U);
+    BOOST_TEST(partsAt(second, 4, 4900ms) == 1U);
+    BOOST_TEST(partsAt(second, 5, 5s) == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(endpoint_is_cold_after_its_start_and_while_it_reports_so)
@@ -147,6 +152,7 @@
     static constexpr Duration kStep = 5ms;
     static constexpr Duration kDuration = 20s;
     static constexpr Duration kProbePeriod = 400ms;
+    static constexpr Duration kEvaluationPeriod = 100ms;
     static constexpr Duration kMaxRequestDelay = 90ms;
 
     ReturnOfDataCentre(std::size_t entryCount, const Faults &faults, unsigned seed)
@@ -155,14 +161,11 @@
         , leaders_(2, ColdGrantor(kColdGrantLifetime))
         , arrivals_(kEndpoints)
     {
-        std::vector<ColdEndpointAllowance> cold;
         for (std::size_t i = 0; i < kEndpoints; ++i) {
             endpoints_.emplace_back(fmt::format("cold-{}", i));
-            cold.push_back({endpoints_.back(), coldParts(kPerSecond)});
+            cold_.push_back({endpoints_.back(), coldParts(kPerSecond)});
         }
         leaders_[0].recordElected(kStart - 10s);
-        for (ColdGrantor &leader : leaders_)
-            leader.setEndpoints(cold, kStart);
         for (std::size_t i = 0; i < entryCount; ++i) {
             entries_.push_back({VmId(fmt::format("10.0.{}.{}", i / 250, i % 250))});
             entries_.back().nextProbeAt = kStart + upTo(kProbePeriod);
@@ -177,6 +180,8 @@
                 leader_ = 1;
                 leaders_[1].recordElected(now);
             }
+            if ((now - kStart) % kEvaluationPeriod == Duration::zero())
+                leaders_[leader_].setEndpoints(cold_, now);
             for (Entry &entry : entries_)
                 step(entry, now);
         }
@@ -283,6 +288,7 @@
     Faults faults_;
     std::mt19937 random_;
     std::vector<EndpointId> endpoints_;
+    std::vector<ColdEndpointAllowance> cold_; // all of endpoints_
     std::vector<ColdGrantor> leaders_;
     std::size_t leader_ = 0;
     std::vector<Entry> entries_;
