Keep the bytes that were granted to a request while it arrives

The answer to "Expect: 100-continue", and responses to earlier requests on the connection, set what a session holds without the bytes that its current request was granted, so the budget could grant them again. net.http_session_test, granted_bytes_are_held_until_the_response_is_sent: 0 of 307,200 bytes held before, passes after.

--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -150,13 +150,16 @@
     if (!waitsForBytes_)
         waitsSince_ = now;
     waitsForBytes_ = true;
-    const auto ask = [&] { return group_->budget.ask(holding_, bytes, now - waitsSince_); };
+    const auto ask = [&] {
+        return group_->budget.ask(holding_, bytes + unsentBytes_, now - waitsSince_);
+    };
     core::HoldVerdict verdict = ask();
     while (verdict != core::HoldVerdict::Granted && makeRoom(*group_, bytes))
         verdict = ask();
     if (verdict != core::HoldVerdict::Granted)
         return verdict;
     waitsForBytes_ = false;
+    grantedBytes_ = bytes;
     if (bytes > ordinaryBytes)
         reader_.reserveBody(bytes);
     return verdict;
@@ -182,7 +185,7 @@
 
 void ServerSession::updateHolding()
 {
-    group_->budget.set(holding_, requestBytes_ + bufferedBytes_ + unsentBytes_);
+    group_->budget.set(holding_, grantedBytes_ + requestBytes_ + bufferedBytes_ + unsentBytes_);
 }
 
 void ServerSession::dispatch()
@@ -194,6 +197,7 @@
     requestActive_ = true;
     requestStarted_ = false;
     wasUsed_ = true;
+    grantedBytes_ = 0;
     requestBytes_ = request.body.size();
     updateHolding();
     ++group_->counts.requests;
@@ -206,6 +210,7 @@
     reader_.clear();
     waitsForBytes_ = false;
     requestStarted_ = false;
+    grantedBytes_ = 0;
     requestBytes_ = 0;
     updateHolding();
     requestActive_ = true;
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -136,6 +136,7 @@
     ReadableWait readableWait_;
     RequestReader reader_;
     core::Holding holding_; // of the budget of the group
+    std::size_t grantedBytes_ = 0; // for the request that is being received
     std::size_t requestBytes_ = 0; // of the request that the handler has
     std::size_t bufferedBytes_ = 0; // see setBufferedBytes()
     std::size_t bytesAtProgress_ = 0; // bytes of the current request at progressAt_
--- a/net/server_session_close.cpp
+++ b/net/server_session_close.cpp
@@ -115,6 +115,7 @@
     open_ = false;
     waitsForBytes_ = false;
     reader_.clear();
+    grantedBytes_ = 0;
     requestBytes_ = 0;
     bufferedBytes_ = 0;
     updateHolding();
--- a/net/testing/http_session_test.cpp
+++ b/net/testing/http_session_test.cpp
@@ -393,6 +393,26 @@
     BOOST_TEST(group.value()->sessions.empty());
 }
 
+// Guards against a grant that is given back while the body still arrives, for example by the answer
+// to "Expect: 100-continue": others would get the same bytes.
+BOOST_FIXTURE_TEST_CASE(granted_bytes_are_held_until_the_response_is_sent, HttpSessionFixture)
+{
+    constexpr std::size_t kBodyBytes = 300U << 10U;
+    const std::string address = startServer(SessionLimits());
+    tcp::socket caller(io);
+    caller.connect(parseAddress(address).value());
+    const std::string head = "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: "
+                             + std::to_string(kBodyBytes) + "\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(head));
+    BOOST_TEST(statusOfResponse(caller) == 100U);
+    io.restart();
+    io.run_for(50ms);
+    BOOST_TEST(group->budget.usedBytes() == kBodyBytes);
+    boost::asio::write(caller, boost::asio::buffer(std::string(kBodyBytes, 'x')));
+    BOOST_TEST(statusOfResponse(caller) == 200U);
+    runUntil([&] { return group->budget.usedBytes() == 0; });
+}
+
 // Guards against kept connections on which the limits of an earlier configuration hold (review/4).
 BOOST_FIXTURE_TEST_CASE(limits_in_force_apply_to_kept_connections, HttpSessionFixture)
 {
