--- a/app/testing/planned_stop_test.py
+++ b/app/testing/planned_stop_test.py
@@ -158,7 +158,7 @@
     # have kept, are passed on, and are cut by the exit (LOST): streams are told from calls by the kind
     # of their route, whether their service has models or not.
     def test_late_request_of_each_kind_is_answered_or_refused(self):
-        with Site(61) as site:
+        with Site(66) as site:
             self.start_site(site, change=add_call_with_models)
             site.worker("m-1", "llm", faults={"late": answer_late, "slow": "slow"})
             site.workers[0].faults.update(late=answer_late, slow="slow")
@@ -175,7 +175,7 @@
     # Guards against times of a stop that count from when the process handles the signal: a process
     # that was not scheduled for 0.8 s passed streams on up to 3.6 s after the signal and cut them.
     def test_late_stream_is_refused_although_the_signal_is_handled_late(self):
-        with Site(62) as site:
+        with Site(67) as site:
             self.start_site(site, change=add_call_with_models)
             site.worker("m-1", "llm", faults={"late": answer_late, "slow": "slow"})
             site.workers[0].faults.update(late=answer_late, slow="slow")
