Observe cold endpoints only where a service limits requests to them

Entries read the clocks and looked the service up for each endpoint at each change of the view and each choice, also where no service has coldPerS.

--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -40,6 +40,14 @@
             static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()));
 }
 
+bool hasColdLimits(const core::SiteView &view)
+{
+    return view.table
+           && std::any_of(view.table->config().services.begin(),
+                          view.table->config().services.end(),
+                          [](const core::Service &service) { return service.coldPerSecond > 0; });
+}
+
 // Returns an average in milliseconds as a duration; 0 before the first sample.
 template<typename Key>
 core::Duration averageOf(const std::map<Key, double> &averages, const Key &key)
@@ -89,11 +97,20 @@
     for (const auto &[service, endpoints] : next->endpoints) {
         for (const core::EndpointRecord &endpoint : endpoints) {
             remaining.insert(endpoint.id);
-            coldEndpoints.observe(endpoint, clock.now(), clock.wallNow());
             endpointsByAddress_.insert_or_assign(endpoint.address, endpoint.id);
         }
     }
-    coldEndpoints.retain(remaining);
+    // A view is replaced with each change of an endpoint, so that this costs nothing where no
+    // service limits requests to cold endpoints.
+    if (hasColdLimits(*next)) {
+        const core::Instant now = clock.now();
+        const core::WallTime wallNow = clock.wallNow();
+        for (const auto &[service, endpoints] : next->endpoints) {
+            for (const core::EndpointRecord &endpoint : endpoints)
+                coldEndpoints.observe(endpoint, now, wallNow);
+        }
+        coldEndpoints.retain(remaining);
+    }
     path.setEndpointCount(remaining.size());
     for (const auto &[service, endpoints] : view->endpoints) {
         for (const core::EndpointRecord &endpoint : endpoints) {
@@ -117,6 +134,7 @@
     const auto found = view->endpoints.find(service);
     if (found == view->endpoints.end())
         return usable;
+    const std::optional<core::Duration> coldStart = coldStartOf(service);
     for (const core::EndpointRecord &endpoint : found->second) {
         const bool isAllowed =
                 endpoint.state == core::EndpointRecordState::Ready && gate.admits(endpoint.version)
@@ -124,7 +142,8 @@
                 && core::mayServe(view->evacuations, endpoint) && !excluded.contains(endpoint.id);
         if (!isAllowed)
             continue;
-        if (isLimitedAsCold(endpoint, now) && !coldAllowance.allows(endpoint.id, now)) {
+        if (coldStart && coldEndpoints.isCold(endpoint.id, *coldStart, now)
+            && !coldAllowance.allows(endpoint.id, now)) {
             ++counts.coldHeldBack;
             continue;
         }
@@ -170,16 +189,16 @@
     return found != view->endpoints.end() && core::isEvacuated(view->evacuations, found->second);
 }
 
-bool TrafficPlane::isLimitedAsCold(const core::EndpointRecord &endpoint, core::Instant now) const
+std::optional<core::Duration> TrafficPlane::coldStartOf(const core::ServiceName &name) const
 {
-    const core::Service *service = view->table ? view->table->service(endpoint.service) : nullptr;
-    return service && service->coldPerSecond > 0
-           && coldEndpoints.isCold(endpoint.id, service->coldStart, now);
+    const core::Service *service = view->table ? view->table->service(name) : nullptr;
+    return service && service->coldPerSecond > 0 ? std::optional(service->coldStart) : std::nullopt;
 }
 
 bool TrafficPlane::takeColdAllowance(const core::EndpointRecord &endpoint, core::Instant now)
 {
-    if (!isLimitedAsCold(endpoint, now))
+    const std::optional<core::Duration> coldStart = coldStartOf(endpoint.service);
+    if (!coldStart || !coldEndpoints.isCold(endpoint.id, *coldStart, now))
         return true;
     if (!coldAllowance.take(endpoint.id, now)) {
         ++counts.coldHeldBack;
--- a/app/traffic_plane.h
+++ b/app/traffic_plane.h
@@ -196,9 +196,9 @@
         core::RetryBudget escalations;
     };
 
-    // Whether requests to the endpoint are limited now.
-    [[nodiscard]] bool isLimitedAsCold(const core::EndpointRecord &endpoint,
-                                       core::Instant now) const;
+    // How long endpoints of the service are cold after their start; empty if requests to cold ones
+    // are not limited.
+    [[nodiscard]] std::optional<core::Duration> coldStartOf(const core::ServiceName &name) const;
 
     Budgets &budgetsOf(const core::ServiceName &service);
 
