--- a/core/endpoint_registry.h
+++ b/core/endpoint_registry.h
@@ -63,8 +63,8 @@
 constexpr std::uint64_t kFinalSequence = std::numeric_limits<std::uint64_t>::max();
 
 // Outdated: not newer than the current record, or its address belongs to an endpoint that started
-// later. Refreshed: newer, but with the same content, and the
-// warm-up, if any, ends as reported before.
+// later. Refreshed: newer, but with the same content, and the warm-up, if any, ends as reported
+// before.
 enum class RegistryChange { Outdated, Refreshed, Changed };
 
 // How long records that are no longer in use are kept.
