Count the head of a request against the budget of held bytes

The budget counted the body of a running request, not its fields. A head of 16 KB may hold 2,600 and more short fields, each of which takes 64 bytes and more once it is parsed: 300 connections with such heads, whose requests the worker kept, took an entry to 81 MB in test_heads_of_many_small_fields_at_once, which allows 64 MB.

RequestReader now tells the memory of the parsed head, and a session holds it until its response is sent. The new test fails before (80,756,736 bytes) and passes after.

--- a/app/testing/hostile_client_test.py
+++ b/app/testing/hostile_client_test.py
@@ -7,12 +7,14 @@
 """
 
 import contextlib
+import http.client
 import os
 import socket
 import sys
 import threading
 import time
 import unittest
+import unittest.mock
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
@@ -25,6 +27,8 @@
 FLOOD_BYTES = 8 * MB  # sent by each client that knows no end
 MISSING_BYTES = 10  # of a body that stops just short of its end
 MAX_FILES = 128  # open descriptors of a process
+FIELD_CROWD = 300  # connections with heads of small fields
+FIELDS = 2600  # of such a head, within the limit of 16 KB
 IDLE_CROWD = 200  # connections, more than the descriptors of the process
 SEND_TIMEOUT_S = 2  # of a client whose bytes aren't read
 
@@ -119,6 +123,10 @@
     yield from repeated(b"X-Filler: %s\r\n" % (b"h" * 1000) * 16, FLOOD_BYTES)
 
 
+def head_of_small_fields():
+    yield head("".join("a:b\r\n" for _ in range(FIELDS)) + LENGTH % 0)
+
+
 class HostileClientTest(unittest.TestCase):
     @contextlib.contextmanager
     def site(self, network, limits=None, **options):
@@ -197,6 +205,16 @@
         self.attack_entry(140, whole_chunked_body,
                           faults={"hostile": lambda worker, request: time.sleep(3)})
 
+    # A field takes many times its bytes once it is parsed, and a request is kept until it is answered.
+    @unittest.mock.patch.object(http.client, "_MAXHEADERS", 2 * FIELDS)  # of the worker's parser
+    def test_heads_of_many_small_fields_at_once(self):
+        with self.site(146, faults={"hostile": lambda worker, request: time.sleep(3)}) as site:
+            entry = site.entries[0]
+            with self.crowd((entry, 8227), FIELD_CROWD, head_of_small_fields):
+                self.assert_served(site)
+                self.assertIsNone(site.processes[entry].poll(), "the process has ended")
+                self.assertLess(site.peak_bytes(entry), MEMORY_MB * MB)
+
     def test_bodies_for_a_control_vm_that_stop_short_of_their_end(self):
         path = "/fireflyroute/Config.Replace"
         with self.site(141) as site:
--- a/net/request_reader.cpp
+++ b/net/request_reader.cpp
@@ -29,6 +29,17 @@
     return kStatusBadRequest;
 }
 
+// The memory that the fields of a request take until it is answered: parsed, and in the form in
+// which they are forwarded. A short field takes many times its bytes on the wire.
+template<typename Fields>
+std::size_t memoryOf(const Fields &fields)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : fields)
+        bytes += sizeof(HttpHeader) + 2 * (field.name_string().size() + field.value().size());
+    return bytes;
+}
+
 } // namespace
 
 struct RequestReader::Parser
@@ -54,8 +65,12 @@
         parser.body_limit(limits.bodyBytes);
         bodyLimit_ = limits.bodyBytes;
     }
+    const bool hadHead = parser.is_header_done();
     error_code error;
     input_.erase(0, parser.put(asio::buffer(input_), error));
+    // Trailers are added to the fields of a complete request.
+    if ((!hadHead && parser.is_header_done()) || parser.is_done())
+        headBytes_ = memoryOf(parser.get());
     if (error && error != http::error::need_more) {
         rejectStatus_ = statusOf(error);
         return ReadState::Rejected;
@@ -90,9 +105,14 @@
     return equalFieldNames(std::string(parser.get()[http::field::expect]), "100-continue");
 }
 
+std::size_t RequestReader::parsedBytes() const
+{
+    return headBytes_ + parser_->parser.get().body().size();
+}
+
 std::size_t RequestReader::heldBytes() const
 {
-    return input_.size() + parser_->parser.get().body().size();
+    return input_.size() + parsedBytes();
 }
 
 std::size_t RequestReader::wantedBytes(std::size_t ordinaryBytes) const
@@ -102,8 +122,10 @@
     if (!parser.is_header_done())
         return held;
     if (const auto length = parser.content_length())
-        return std::max<std::size_t>(held, *length);
-    return held <= ordinaryBytes ? held : std::max<std::size_t>(held, bodyLimit_);
+        return std::max<std::size_t>(held, headBytes_ + *length);
+    return held <= ordinaryBytes || parser.is_done()
+                   ? held
+                   : std::max<std::size_t>(held, headBytes_ + bodyLimit_);
 }
 
 void RequestReader::reserveBody(std::size_t bytes)
@@ -123,6 +145,7 @@
         request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
     request.body = std::move(message.body());
     parser_ = std::make_unique<Parser>();
+    headBytes_ = 0;
     hasBegun_ = false;
     continueTaken_ = false;
     if (input_.empty())
@@ -134,6 +157,7 @@
 {
     input_ = std::string();
     parser_ = std::make_unique<Parser>();
+    headBytes_ = 0;
     hasBegun_ = false;
 }
 
--- a/net/request_reader.h
+++ b/net/request_reader.h
@@ -74,6 +74,9 @@
     // Whether the caller waits for "100 Continue". True once for each request.
     [[nodiscard]] bool takeExpectsContinue();
 
+    // Bytes that the current request holds without those that are not parsed yet.
+    [[nodiscard]] std::size_t parsedBytes() const;
+
     // Bytes that the request holds, and that it will hold when it is complete: for a body in
     // chunks, whose length is unknown, the longest one as soon as it exceeds `ordinaryBytes`.
     [[nodiscard]] std::size_t heldBytes() const;
@@ -97,6 +100,7 @@
     std::unique_ptr<Parser> parser_; // of the current request
     std::string input_; // received bytes that are not parsed yet
     std::uint32_t bodyLimit_ = 0; // of the current request
+    std::size_t headBytes_ = 0; // that the complete head of the current request takes in memory
     unsigned rejectStatus_ = 0;
     bool hasBegun_ = false; // bytes of the current request have been parsed
     bool continueTaken_ = false;
--- a/net/server_session.cpp
+++ b/net/server_session.cpp
@@ -191,6 +191,7 @@
 void ServerSession::dispatch()
 {
     timer_.cancel();
+    requestBytes_ = reader_.parsedBytes();
     HttpRequestMessage request = reader_.take();
     keepAlive_ = reader_.keepsAlive();
     omitBody_ = request.method == "HEAD";
@@ -198,7 +199,6 @@
     requestStarted_ = false;
     wasUsed_ = true;
     grantedBytes_ = 0;
-    requestBytes_ = request.body.size();
     updateHolding();
     ++group_->counts.requests;
     awaitReadable();
