--- a/review/harness2.py
+++ b/review/harness2.py
@@ -29,7 +29,7 @@
           "gracePeriodS": 8, "lossSlackMs": 200, "configApplyMs": 2500, "revokeFailClosed": True,
           "revokeMs": 5000, "retryBudgetRatio": 0.9, "budgetWindowS": 10, "retryBudgetSlack": 56,
           "exposureShare": 0.15, "recoveryS": 12, "sessionTtlS": 5}
-MEMORY_MB = {"front": 260, "core": 256}
+MEMORY_MB = {"front": 110, "core": 256}
 RESTART_DELAY_S = 0.3  # of a process that has ended, by the platform
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
