--- a/app/admission_gate.h
+++ b/app/admission_gate.h
@@ -8,8 +8,8 @@
 #define FIREFLYROUTE_APP_ADMISSION_GATE_H
 
 #include "app/system_clock.h"
-#include "core/admission.h"
-#include "core/directory.h"
+#include "core/admission/admission.h"
+#include "core/endpoints/directory.h"
 
 #include <functional>
 #include <map>
--- a/app/caller_api.h
+++ b/app/caller_api.h
@@ -5,7 +5,7 @@
 #define FIREFLYROUTE_APP_CALLER_API_H
 
 #include "app/traffic_context.h"
-#include "core/caller_request.h"
+#include "core/calls/caller_request.h"
 #include "net/http_listener.h"
 
 #include <memory>
--- a/app/command_evacuation.h
+++ b/app/command_evacuation.h
@@ -10,7 +10,7 @@
 
 #include "app/command_output.h"
 #include "app/settings.h"
-#include "core/site_calls.h"
+#include "core/calls/site_calls.h"
 #include "net/http_message.h"
 
 #include <algorithm>
--- a/app/command_exception_text.h
+++ b/app/command_exception_text.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_APP_COMMAND_EXCEPTION_TEXT_H
 #define FIREFLYROUTE_APP_COMMAND_EXCEPTION_TEXT_H
 
-#include "core/fleet_config.h"
+#include "core/config/fleet_config.h"
 
 #include <string>
 
--- a/app/command_output.h
+++ b/app/command_output.h
@@ -11,7 +11,7 @@
 #include "app/errors.h"
 #include "app/operator_client.h"
 #include "app/settings.h"
-#include "core/control_command.h"
+#include "core/config/control_command.h"
 
 #include <json/value.h>
 #include <string>
--- a/app/command_timeline.cpp
+++ b/app/command_timeline.cpp
@@ -2,7 +2,7 @@
 
 #include "app/command_groups.h"
 #include "app/command_output.h"
-#include "core/timeline_text.h"
+#include "core/timeline/timeline_text.h"
 #include "net/event_json.h"
 #include "net/text_json.h"
 
--- a/app/config_decoder.h
+++ b/app/config_decoder.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_APP_CONFIG_DECODER_H
 #define FIREFLYROUTE_APP_CONFIG_DECODER_H
 
-#include "core/site_config.h"
+#include "core/config/site_config.h"
 
 #include <functional>
 #include <memory>
--- a/app/control_link.h
+++ b/app/control_link.h
@@ -4,7 +4,7 @@
 #ifndef FIREFLYROUTE_APP_CONTROL_LINK_H
 #define FIREFLYROUTE_APP_CONTROL_LINK_H
 
-#include "core/control_messages.h"
+#include "core/config/control_messages.h"
 #include "net/rpc_peer.h"
 
 #include <functional>
--- a/app/control_vm.cpp
+++ b/app/control_vm.cpp
@@ -3,7 +3,7 @@
 #include "app/control_vm.h"
 
 #include "app/settings.h"
-#include "core/claim_sweep.h"
+#include "core/ledger/claim_sweep.h"
 #include "net/control_json.h"
 #include "net/replication_json.h"
 #include "net/snapshot_json.h"
--- a/app/endpoint_path.h
+++ b/app/endpoint_path.h
@@ -19,8 +19,8 @@
 #include "app/endpoint_pool.h"
 #include "app/site_settings.h"
 #include "app/structured_log.h"
-#include "core/path_monitor.h"
-#include "core/relay_choice.h"
+#include "core/paths/path_monitor.h"
+#include "core/paths/relay_choice.h"
 
 #include <chrono>
 #include <functional>
--- a/app/endpoint_pool.h
+++ b/app/endpoint_pool.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_APP_ENDPOINT_POOL_H
 #define FIREFLYROUTE_APP_ENDPOINT_POOL_H
 
-#include "core/endpoint_registry.h"
+#include "core/endpoints/endpoint_registry.h"
 #include "net/endpoint_connection.h"
 
 #include <boost/asio/io_context.hpp>
--- a/app/entry_control.h
+++ b/app/entry_control.h
@@ -10,9 +10,9 @@
 #include "app/control_loop.h"
 #include "app/event_recorder.h"
 #include "app/routing_view.h"
-#include "core/control_messages.h"
-#include "core/directory.h"
-#include "core/lease_holder.h"
+#include "core/config/control_messages.h"
+#include "core/endpoints/directory.h"
+#include "core/leases/lease_holder.h"
 
 #include <map>
 #include <memory>
--- a/app/errors.h
+++ b/app/errors.h
@@ -4,8 +4,8 @@
 #ifndef FIREFLYROUTE_APP_ERRORS_H
 #define FIREFLYROUTE_APP_ERRORS_H
 
-#include "core/enum_names.h"
-#include "core/errors.h"
+#include "core/common/enum_names.h"
+#include "core/common/errors.h"
 #include "net/errors.h"
 #include "store/errors.h"
 
--- a/app/event_recorder.h
+++ b/app/event_recorder.h
@@ -4,8 +4,8 @@
 #define FIREFLYROUTE_APP_EVENT_RECORDER_H
 
 #include "app/system_clock.h"
-#include "core/event_log.h"
-#include "core/hybrid_clock.h"
+#include "core/timeline/event_log.h"
+#include "core/timeline/hybrid_clock.h"
 
 #include <mutex>
 #include <utility>
--- a/app/ledger_writer.h
+++ b/app/ledger_writer.h
@@ -6,7 +6,7 @@
 
 #include "app/control_link.h"
 #include "app/control_loop.h"
-#include "core/ledger_types.h"
+#include "core/ledger/ledger_types.h"
 
 #include <chrono>
 #include <functional>
--- a/app/load_profile.h
+++ b/app/load_profile.h
@@ -9,7 +9,7 @@
 #define FIREFLYROUTE_APP_LOAD_PROFILE_H
 
 #include "app/errors.h"
-#include "core/load_plan.h"
+#include "core/load/load_plan.h"
 
 #include <json/value.h>
 #include <string>
--- a/app/load_report.h
+++ b/app/load_report.h
@@ -8,9 +8,9 @@
 #ifndef FIREFLYROUTE_APP_LOAD_REPORT_H
 #define FIREFLYROUTE_APP_LOAD_REPORT_H
 
-#include "core/clock.h"
-#include "core/load_plot.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/load/load_plot.h"
 
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
--- a/app/operator_client.h
+++ b/app/operator_client.h
@@ -5,8 +5,8 @@
 
 #include "app/errors.h"
 #include "app/settings.h"
-#include "core/control_command.h"
-#include "core/control_messages.h"
+#include "core/config/control_command.h"
+#include "core/config/control_messages.h"
 
 #include <json/value.h>
 #include <string>
--- a/app/process_stop.h
+++ b/app/process_stop.h
@@ -11,7 +11,7 @@
 
 #include "app/structured_log.h"
 #include "app/system_clock.h"
-#include "core/stop_sequence.h"
+#include "core/stop/stop_sequence.h"
 #include "net/server_session.h"
 
 #include <boost/asio/io_context.hpp>
--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -13,9 +13,9 @@
 #define FIREFLYROUTE_APP_PROXY_REQUEST_H
 
 #include "app/traffic_plane.h"
-#include "core/event_stream.h"
-#include "core/request_form.h"
-#include "core/sendings.h"
+#include "core/calls/request_form.h"
+#include "core/requests/event_stream.h"
+#include "core/requests/sendings.h"
 #include "net/server_session.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/app/proxy_request_choose.h
+++ b/app/proxy_request_choose.h
@@ -9,7 +9,7 @@
 #define FIREFLYROUTE_APP_PROXY_REQUEST_CHOOSE_H
 
 #include "app/proxy_request.h"
-#include "core/stable_hash.h"
+#include "core/common/stable_hash.h"
 
 #include <algorithm>
 
--- a/app/replica_driver.h
+++ b/app/replica_driver.h
@@ -13,7 +13,7 @@
 #include "app/disk_thread.h"
 #include "app/errors.h"
 #include "app/system_clock.h"
-#include "core/replica.h"
+#include "core/group/replica.h"
 #include "store/replica_store.h"
 
 #include <boost/asio/io_context.hpp>
--- a/app/request_histograms.h
+++ b/app/request_histograms.h
@@ -8,7 +8,7 @@
 #ifndef FIREFLYROUTE_APP_REQUEST_HISTOGRAMS_H
 #define FIREFLYROUTE_APP_REQUEST_HISTOGRAMS_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <boost/histogram/axis/variable.hpp>
 #include <boost/histogram/histogram.hpp>
--- a/app/request_session.h
+++ b/app/request_session.h
@@ -9,7 +9,7 @@
 #define FIREFLYROUTE_APP_REQUEST_SESSION_H
 
 #include "app/traffic_context.h"
-#include "core/request_machine.h"
+#include "core/requests/request_machine.h"
 #include "net/chat_json.h"
 #include "net/http_client.h"
 #include "net/http_listener.h"
--- a/app/routing_view.h
+++ b/app/routing_view.h
@@ -4,11 +4,11 @@
 #ifndef FIREFLYROUTE_APP_ROUTING_VIEW_H
 #define FIREFLYROUTE_APP_ROUTING_VIEW_H
 
-#include "core/control_messages.h"
-#include "core/directory.h"
-#include "core/endpoint_choice_index.h"
-#include "core/fleet_config.h"
-#include "core/lease_holder.h"
+#include "core/balancing/endpoint_choice_index.h"
+#include "core/config/control_messages.h"
+#include "core/config/fleet_config.h"
+#include "core/endpoints/directory.h"
+#include "core/leases/lease_holder.h"
 
 #include <memory>
 #include <mutex>
--- a/app/settings.h
+++ b/app/settings.h
@@ -5,8 +5,8 @@
 #define FIREFLYROUTE_APP_SETTINGS_H
 
 #include "app/errors.h"
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <chrono>
 #include <cstdint>
--- a/app/shared_policy.h
+++ b/app/shared_policy.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_APP_SHARED_POLICY_H
 #define FIREFLYROUTE_APP_SHARED_POLICY_H
 
-#include "core/routing_policy.h"
+#include "core/requests/routing_policy.h"
 
 #include <mutex>
 #include <utility>
--- a/app/signals.h
+++ b/app/signals.h
@@ -7,7 +7,7 @@
 #include "app/site_settings.h"
 #include "app/structured_log.h"
 #include "app/system_clock.h"
-#include "core/turn_watch.h"
+#include "core/stop/turn_watch.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -2,7 +2,7 @@
 
 #include "app/site_entry.h"
 
-#include "core/home_choice.h"
+#include "core/site/home_choice.h"
 #include "net/address.h"
 #include "net/site_codec.h"
 
--- a/app/site_entry.h
+++ b/app/site_entry.h
@@ -15,11 +15,11 @@
 #include "app/site_settings.h"
 #include "app/structured_log.h"
 #include "app/system_clock.h"
-#include "core/config_currency.h"
-#include "core/control_directory.h"
-#include "core/site_messages.h"
-#include "core/site_view.h"
-#include "core/state_fetch.h"
+#include "core/calls/site_view.h"
+#include "core/leases/config_currency.h"
+#include "core/site/control_directory.h"
+#include "core/site/site_messages.h"
+#include "core/site/state_fetch.h"
 #include "net/frame_link.h"
 
 #include <boost/asio/io_context.hpp>
--- a/app/site_settings.h
+++ b/app/site_settings.h
@@ -6,10 +6,10 @@
 
 #include "app/errors.h"
 #include "app/settings.h"
-#include "core/clock.h"
-#include "core/regions.h"
-#include "core/stop_sequence.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/places/regions.h"
+#include "core/stop/stop_sequence.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/app/structured_log.h
+++ b/app/structured_log.h
@@ -10,7 +10,7 @@
 #define FIREFLYROUTE_APP_STRUCTURED_LOG_H
 
 #include "app/system_clock.h"
-#include "core/enum_names.h"
+#include "core/common/enum_names.h"
 
 #include <array>
 #include <cstdint>
--- a/app/system_clock.h
+++ b/app/system_clock.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_APP_SYSTEM_CLOCK_H
 #define FIREFLYROUTE_APP_SYSTEM_CLOCK_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <ctime>
 
--- a/app/traffic_context.h
+++ b/app/traffic_context.h
@@ -11,7 +11,7 @@
 #include "app/shared_policy.h"
 #include "app/system_clock.h"
 #include "app/traffic_counters.h"
-#include "core/fleet_policy.h"
+#include "core/requests/fleet_policy.h"
 #include "net/http_client.h"
 
 #include <memory>
--- a/app/traffic_counters.h
+++ b/app/traffic_counters.h
@@ -3,9 +3,9 @@
 #ifndef FIREFLYROUTE_APP_TRAFFIC_COUNTERS_H
 #define FIREFLYROUTE_APP_TRAFFIC_COUNTERS_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
--- a/app/traffic_plane.cpp
+++ b/app/traffic_plane.cpp
@@ -2,7 +2,7 @@
 
 #include "app/traffic_plane.h"
 
-#include "core/evacuation.h"
+#include "core/places/evacuation.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/admission.h
+++ b/core/admission/admission.h
@@ -32,11 +32,11 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_H
 #define FIREFLYROUTE_CORE_ADMISSION_H
 
-#include "core/admission_accounts.h"
-#include "core/admission_pool.h"
-#include "core/admission_scheduler.h"
-#include "core/admission_types.h"
-#include "core/usage_exchange.h"
+#include "core/admission/admission_accounts.h"
+#include "core/admission/admission_pool.h"
+#include "core/admission/admission_scheduler.h"
+#include "core/admission/admission_types.h"
+#include "core/admission/usage_exchange.h"
 
 #include <set>
 #include <unordered_map>
@@ -146,6 +146,6 @@
 
 } // namespace fireflyroute::core
 
-#include "core/admission_impl.h"
+#include "core/admission/admission_impl.h"
 
 #endif
--- a/core/admission_accounts.cpp
+++ b/core/admission/admission_accounts.cpp
@@ -1,7 +1,7 @@
 // Rate and concurrency limits of client accounts: a token bucket and a count of running requests
 // per account.
 
-#include "core/admission_accounts.h"
+#include "core/admission/admission_accounts.h"
 
 #include <algorithm>
 
--- a/core/admission_accounts.h
+++ b/core/admission/admission_accounts.h
@@ -12,9 +12,9 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_ACCOUNTS_H
 #define FIREFLYROUTE_CORE_ADMISSION_ACCOUNTS_H
 
-#include "core/clock.h"
-#include "core/fleet_config.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/config/fleet_config.h"
 
 #include <cstdint>
 #include <unordered_map>
--- a/core/admission_impl.h
+++ b/core/admission/admission_impl.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_IMPL_H
 #define FIREFLYROUTE_CORE_ADMISSION_IMPL_H
 
-#include "core/admission.h"
+#include "core/admission/admission.h"
 
 namespace fireflyroute::core {
 
--- a/core/admission_pool.h
+++ b/core/admission/admission_pool.h
@@ -4,10 +4,10 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_POOL_H
 #define FIREFLYROUTE_CORE_ADMISSION_POOL_H
 
-#include "core/admission_rate.h"
-#include "core/admission_scheduler.h"
-#include "core/admission_types.h"
-#include "core/fair_queue.h"
+#include "core/admission/admission_rate.h"
+#include "core/admission/admission_scheduler.h"
+#include "core/admission/admission_types.h"
+#include "core/admission/fair_queue.h"
 
 #include <algorithm>
 #include <array>
--- a/core/admission_rate.h
+++ b/core/admission/admission_rate.h
@@ -11,7 +11,7 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_RATE_H
 #define FIREFLYROUTE_CORE_ADMISSION_RATE_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/admission_scheduler.cpp
+++ b/core/admission/admission_scheduler.cpp
@@ -1,6 +1,6 @@
 // Schedulers that order the ranks.
 
-#include "core/admission_scheduler.h"
+#include "core/admission/admission_scheduler.h"
 
 #include <algorithm>
 
--- a/core/admission_scheduler.h
+++ b/core/admission/admission_scheduler.h
@@ -8,9 +8,9 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_SCHEDULER_H
 #define FIREFLYROUTE_CORE_ADMISSION_SCHEDULER_H
 
-#include "core/clock.h"
-#include "core/fleet_config.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/config/fleet_config.h"
 
 #include <array>
 #include <concepts>
--- a/core/admission_types.h
+++ b/core/admission/admission_types.h
@@ -3,10 +3,10 @@
 #ifndef FIREFLYROUTE_CORE_ADMISSION_TYPES_H
 #define FIREFLYROUTE_CORE_ADMISSION_TYPES_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/types.h"
-#include "core/usage_exchange.h"
+#include "core/admission/usage_exchange.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/byte_budget.cpp
+++ b/core/admission/byte_budget.cpp
@@ -1,6 +1,6 @@
 // Grants and the choice of connections to close.
 
-#include "core/byte_budget.h"
+#include "core/admission/byte_budget.h"
 
 #include <tuple>
 
--- a/core/byte_budget.h
+++ b/core/admission/byte_budget.h
@@ -17,8 +17,8 @@
 #ifndef FIREFLYROUTE_CORE_BYTE_BUDGET_H
 #define FIREFLYROUTE_CORE_BYTE_BUDGET_H
 
-#include "core/clock.h"
-#include "core/enum_names.h"
+#include "core/common/clock.h"
+#include "core/common/enum_names.h"
 
 #include <array>
 #include <cstddef>
--- a/core/fair_queue.h
+++ b/core/admission/fair_queue.h
@@ -17,7 +17,7 @@
 #ifndef FIREFLYROUTE_CORE_FAIR_QUEUE_H
 #define FIREFLYROUTE_CORE_FAIR_QUEUE_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <algorithm>
 #include <concepts>
--- a/core/request_admission.h
+++ b/core/admission/request_admission.h
@@ -10,10 +10,10 @@
 #ifndef FIREFLYROUTE_CORE_REQUEST_ADMISSION_H
 #define FIREFLYROUTE_CORE_REQUEST_ADMISSION_H
 
-#include "core/clock.h"
-#include "core/request_form.h"
-#include "core/site_calls.h"
-#include "core/site_config.h"
+#include "core/calls/request_form.h"
+#include "core/calls/site_calls.h"
+#include "core/common/clock.h"
+#include "core/config/site_config.h"
 
 #include <concepts>
 #include <optional>
--- a/core/testing/admission_benchmark.cpp
+++ b/core/admission/testing/admission_benchmark.cpp
@@ -1,7 +1,7 @@
 // Cost of one request in admission, from arrival to completion, with full queues, by the number of
 // accounts with waiting requests.
 
-#include "core/admission.h"
+#include "core/admission/admission.h"
 
 #include <benchmark/benchmark.h>
 #include <string>
--- a/core/testing/admission_test.cpp
+++ b/core/admission/testing/admission_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of admission: order, limits, refusals and cancellation.
 
 #define BOOST_TEST_MODULE admission
-#include "core/admission.h"
+#include "core/admission/admission.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/core/testing/byte_budget_test.cpp
+++ b/core/admission/testing/byte_budget_test.cpp
@@ -2,7 +2,7 @@
 // large bodies, bodies that stop short of their end, and callers that don't read their answers.
 
 #define BOOST_TEST_MODULE byte_budget
-#include "core/byte_budget.h"
+#include "core/admission/byte_budget.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
--- a/core/testing/fair_queue_test.cpp
+++ b/core/admission/testing/fair_queue_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of fair queueing between accounts.
 
 #define BOOST_TEST_MODULE fair_queue
-#include "core/fair_queue.h"
+#include "core/admission/fair_queue.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/core/testing/request_admission_test.cpp
+++ b/core/admission/testing/request_admission_test.cpp
@@ -1,7 +1,7 @@
 // Tests the admission policies of a site. Guards against a default policy that refuses requests.
 
 #define BOOST_TEST_MODULE request_admission
-#include "core/request_admission.h"
+#include "core/admission/request_admission.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/usage_exchange_test.cpp
+++ b/core/admission/testing/usage_exchange_test.cpp
@@ -1,7 +1,7 @@
 // Usage reports under loss, repetition, reordering, restarts and time-outs.
 
 #define BOOST_TEST_MODULE usage_exchange
-#include "core/usage_exchange.h"
+#include "core/admission/usage_exchange.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/usage_exchange.cpp
+++ b/core/admission/usage_exchange.cpp
@@ -1,6 +1,6 @@
 // Exchange of account usage: sends running totals and returns differences.
 
-#include "core/usage_exchange.h"
+#include "core/admission/usage_exchange.h"
 
 #include <utility>
 
--- a/core/usage_exchange.h
+++ b/core/admission/usage_exchange.h
@@ -14,8 +14,8 @@
 #ifndef FIREFLYROUTE_CORE_USAGE_EXCHANGE_H
 #define FIREFLYROUTE_CORE_USAGE_EXCHANGE_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <cstdint>
 #include <map>
--- a/core/endpoint_choice.h
+++ b/core/balancing/endpoint_choice.h
@@ -15,11 +15,11 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_CHOICE_H
 #define FIREFLYROUTE_CORE_ENDPOINT_CHOICE_H
 
-#include "core/endpoint_choice_index.h"
-#include "core/endpoint_choice_policy.h"
-#include "core/errors.h"
-#include "core/outstanding.h"
-#include "core/prefix_cache.h"
+#include "core/balancing/endpoint_choice_index.h"
+#include "core/balancing/endpoint_choice_policy.h"
+#include "core/balancing/outstanding.h"
+#include "core/common/errors.h"
+#include "core/sessions/prefix_cache.h"
 
 #include <algorithm>
 #include <concepts>
--- a/core/endpoint_choice_index.cpp
+++ b/core/balancing/endpoint_choice_index.cpp
@@ -1,6 +1,6 @@
 // Builds and queries the index of endpoints by target and distance.
 
-#include "core/endpoint_choice_index.h"
+#include "core/balancing/endpoint_choice_index.h"
 
 #include <algorithm>
 #include <string_view>
--- a/core/endpoint_choice_index.h
+++ b/core/balancing/endpoint_choice_index.h
@@ -7,9 +7,9 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_CHOICE_INDEX_H
 #define FIREFLYROUTE_CORE_ENDPOINT_CHOICE_INDEX_H
 
-#include "core/directory.h"
-#include "core/enum_names.h"
-#include "core/types.h"
+#include "core/common/enum_names.h"
+#include "core/common/types.h"
+#include "core/endpoints/directory.h"
 
 #include <array>
 #include <concepts>
--- a/core/endpoint_choice_policy.cpp
+++ b/core/balancing/endpoint_choice_policy.cpp
@@ -1,6 +1,6 @@
 // Weighted policy. All cost terms are in seconds.
 
-#include "core/endpoint_choice_policy.h"
+#include "core/balancing/endpoint_choice_policy.h"
 
 #include <algorithm>
 
--- a/core/endpoint_choice_policy.h
+++ b/core/balancing/endpoint_choice_policy.h
@@ -8,8 +8,8 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_CHOICE_POLICY_H
 #define FIREFLYROUTE_CORE_ENDPOINT_CHOICE_POLICY_H
 
-#include "core/endpoint_choice_index.h"
-#include "core/types.h"
+#include "core/balancing/endpoint_choice_index.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <concepts>
--- a/core/endpoint_monitor.cpp
+++ b/core/balancing/endpoint_monitor.cpp
@@ -1,6 +1,6 @@
 // Moving averages and cooldowns of endpoints.
 
-#include "core/endpoint_monitor.h"
+#include "core/balancing/endpoint_monitor.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/endpoint_monitor.h
+++ b/core/balancing/endpoint_monitor.h
@@ -14,10 +14,10 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_MONITOR_H
 #define FIREFLYROUTE_CORE_ENDPOINT_MONITOR_H
 
-#include "core/clock.h"
-#include "core/site_calls.h"
-#include "core/site_messages.h"
-#include "core/types.h"
+#include "core/calls/site_calls.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/site/site_messages.h"
 
 #include <cstdint>
 #include <optional>
--- a/core/endpoint_pick.cpp
+++ b/core/balancing/endpoint_pick.cpp
@@ -1,8 +1,8 @@
 // Expected cost of endpoints for one attempt.
 
-#include "core/endpoint_pick.h"
+#include "core/balancing/endpoint_pick.h"
 
-#include "core/stable_hash.h"
+#include "core/common/stable_hash.h"
 
 #include <algorithm>
 #include <limits>
--- a/core/endpoint_pick.h
+++ b/core/balancing/endpoint_pick.h
@@ -11,11 +11,11 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_PICK_H
 #define FIREFLYROUTE_CORE_ENDPOINT_PICK_H
 
-#include "core/endpoint_monitor.h"
-#include "core/endpoint_registry.h"
-#include "core/prompt_index.h"
-#include "core/regions.h"
-#include "core/site_calls.h"
+#include "core/balancing/endpoint_monitor.h"
+#include "core/calls/site_calls.h"
+#include "core/endpoints/endpoint_registry.h"
+#include "core/places/regions.h"
+#include "core/sessions/prompt_index.h"
 
 #include <map>
 #include <string>
--- a/core/outstanding.cpp
+++ b/core/balancing/outstanding.cpp
@@ -1,6 +1,6 @@
 // Load estimation from reports and local events.
 
-#include "core/outstanding.h"
+#include "core/balancing/outstanding.h"
 
 #include <algorithm>
 
--- a/core/outstanding.h
+++ b/core/balancing/outstanding.h
@@ -10,9 +10,9 @@
 #ifndef FIREFLYROUTE_CORE_OUTSTANDING_H
 #define FIREFLYROUTE_CORE_OUTSTANDING_H
 
-#include "core/clock.h"
-#include "core/endpoint.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/endpoints/endpoint.h"
 
 #include <cstdint>
 #include <deque>
--- a/core/testing/endpoint_choice_benchmark.cpp
+++ b/core/balancing/testing/endpoint_choice_benchmark.cpp
@@ -1,7 +1,7 @@
 // Cost of one endpoint choice for the current fleet size, a tenth of the target size, and the
 // target size. It should not depend on the number of endpoints and be at most 5 us.
 
-#include "core/endpoint_choice.h"
+#include "core/balancing/endpoint_choice.h"
 
 #include <benchmark/benchmark.h>
 #include <string>
--- a/core/testing/endpoint_choice_test.cpp
+++ b/core/balancing/testing/endpoint_choice_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of endpoint choice: exclusion, preferences and baseline policies.
 
 #define BOOST_TEST_MODULE endpoint_choice
-#include "core/endpoint_choice.h"
+#include "core/balancing/endpoint_choice.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/core/testing/fleet_load_benchmark.cpp
+++ b/core/balancing/testing/fleet_load_benchmark.cpp
@@ -3,7 +3,7 @@
 //
 //   core_fleet_load_benchmark --benchmark_filter='fleetLoad/2000/295/4'
 
-#include "core/testing/fleet_load_model.h"
+#include "core/balancing/testing/fleet_load_model.h"
 
 #include <benchmark/benchmark.h>
 
--- a/core/testing/fleet_load_model.h
+++ b/core/balancing/testing/fleet_load_model.h
@@ -10,9 +10,9 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_FLEET_LOAD_MODEL_H
 #define FIREFLYROUTE_CORE_TESTING_FLEET_LOAD_MODEL_H
 
-#include "core/endpoint_pick.h"
-#include "core/stable_hash.h"
-#include "core/work_exchange.h"
+#include "core/balancing/endpoint_pick.h"
+#include "core/common/stable_hash.h"
+#include "core/site/work_exchange.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/testing/fleet_load_test.cpp
+++ b/core/balancing/testing/fleet_load_test.cpp
@@ -2,7 +2,7 @@
 // core/testing/fleet_load_model.h.
 
 #define BOOST_TEST_MODULE fleet_load
-#include "core/testing/fleet_load_model.h"
+#include "core/balancing/testing/fleet_load_model.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/caller_request.h
+++ b/core/calls/caller_request.h
@@ -4,7 +4,7 @@
 #ifndef FIREFLYROUTE_CORE_CALLER_REQUEST_H
 #define FIREFLYROUTE_CORE_CALLER_REQUEST_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/request_form.h
+++ b/core/calls/request_form.h
@@ -6,8 +6,8 @@
 #ifndef FIREFLYROUTE_CORE_REQUEST_FORM_H
 #define FIREFLYROUTE_CORE_REQUEST_FORM_H
 
-#include "core/enum_names.h"
-#include "core/site_config.h"
+#include "core/common/enum_names.h"
+#include "core/config/site_config.h"
 
 #include <array>
 
--- a/core/site_calls.h
+++ b/core/calls/site_calls.h
@@ -5,11 +5,11 @@
 #ifndef FIREFLYROUTE_CORE_SITE_CALLS_H
 #define FIREFLYROUTE_CORE_SITE_CALLS_H
 
-#include "core/clock.h"
-#include "core/endpoint_registry.h"
-#include "core/site_config.h"
-#include "core/site_state.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/config/site_config.h"
+#include "core/endpoints/endpoint_registry.h"
+#include "core/site/site_state.h"
 
 #include <array>
 #include <cstdint>
--- a/core/site_view.h
+++ b/core/calls/site_view.h
@@ -4,9 +4,9 @@
 #ifndef FIREFLYROUTE_CORE_SITE_VIEW_H
 #define FIREFLYROUTE_CORE_SITE_VIEW_H
 
-#include "core/endpoint_registry.h"
-#include "core/site_config.h"
-#include "core/site_state.h"
+#include "core/config/site_config.h"
+#include "core/endpoints/endpoint_registry.h"
+#include "core/site/site_state.h"
 
 #include <map>
 #include <memory>
--- a/core/testing/request_form_test.cpp
+++ b/core/calls/testing/request_form_test.cpp
@@ -2,7 +2,7 @@
 // has models, beside the kind of the route.
 
 #define BOOST_TEST_MODULE request_form
-#include "core/request_form.h"
+#include "core/calls/request_form.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/cold_allowance.cpp
+++ b/core/cold/cold_allowance.cpp
@@ -1,6 +1,6 @@
 // Parts of allowances that an entry holds.
 
-#include "core/cold_allowance.h"
+#include "core/cold/cold_allowance.h"
 
 #include <algorithm>
 #include <functional>
--- a/core/cold_endpoints.cpp
+++ b/core/cold/cold_endpoints.cpp
@@ -1,6 +1,6 @@
 // Cold periods of endpoints by their start and by their reports.
 
-#include "core/cold_endpoints.h"
+#include "core/cold/cold_endpoints.h"
 
 namespace fireflyroute::core {
 
--- a/core/cold_endpoints.h
+++ b/core/cold/cold_endpoints.h
@@ -10,9 +10,9 @@
 #ifndef FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
 #define FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
 
-#include "core/clock.h"
-#include "core/endpoint_registry.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/endpoints/endpoint_registry.h"
 
 #include <cstdint>
 #include <optional>
--- a/core/cold_grants.cpp
+++ b/core/cold/cold_grants.cpp
@@ -1,8 +1,8 @@
 // Choice of the entries that may send to a cold endpoint.
 
-#include "core/cold_grants.h"
+#include "core/cold/cold_grants.h"
 
-#include "core/stable_hash.h"
+#include "core/common/stable_hash.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/cold_grants.h
+++ b/core/cold/cold_grants.h
@@ -15,9 +15,9 @@
 #ifndef FIREFLYROUTE_CORE_COLD_GRANTS_H
 #define FIREFLYROUTE_CORE_COLD_GRANTS_H
 
-#include "core/clock.h"
-#include "core/site_messages.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
+#include "core/site/site_messages.h"
 
 #include <cstdint>
 #include <map>
--- a/core/testing/cold_allowance_test.cpp
+++ b/core/cold/testing/cold_allowance_test.cpp
@@ -2,9 +2,9 @@
 // them, and both together under the load "a data centre returns cold under full traffic".
 
 #define BOOST_TEST_MODULE cold_allowance
-#include "core/cold_allowance.h"
-#include "core/cold_endpoints.h"
-#include "core/cold_grants.h"
+#include "core/cold/cold_allowance.h"
+#include "core/cold/cold_endpoints.h"
+#include "core/cold/cold_grants.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/core/errors.h
+++ b/core/common/errors.h
@@ -8,7 +8,7 @@
 #ifndef FIREFLYROUTE_CORE_ERRORS_H
 #define FIREFLYROUTE_CORE_ERRORS_H
 
-#include "core/enum_names.h"
+#include "core/common/enum_names.h"
 
 #include <array>
 #include <boost/outcome/policy/terminate.hpp>
--- a/core/types.cpp
+++ b/core/common/types.cpp
@@ -1,6 +1,6 @@
 // Out-of-line definitions of the basic types.
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <boost/container_hash/hash.hpp>
 
--- a/core/types.h
+++ b/core/common/types.h
@@ -11,7 +11,7 @@
 #ifndef FIREFLYROUTE_CORE_TYPES_H
 #define FIREFLYROUTE_CORE_TYPES_H
 
-#include "core/enum_names.h"
+#include "core/common/enum_names.h"
 
 #include <array>
 #include <compare>
--- a/core/config_change.cpp
+++ b/core/config/config_change.cpp
@@ -1,8 +1,8 @@
 // Implements each kind of configuration change.
 
-#include "core/config_change.h"
+#include "core/config/config_change.h"
 
-#include "core/rollout_change.h"
+#include "core/config/rollout_change.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/config_change.h
+++ b/core/config/config_change.h
@@ -4,7 +4,7 @@
 #ifndef FIREFLYROUTE_CORE_CONFIG_CHANGE_H
 #define FIREFLYROUTE_CORE_CONFIG_CHANGE_H
 
-#include "core/control_command.h"
+#include "core/config/control_command.h"
 
 #include <string>
 
--- a/core/config_state.cpp
+++ b/core/config/config_state.cpp
@@ -1,8 +1,8 @@
 // Compare-and-set of the fleet configuration, with recorded replies for resent commands.
 
-#include "core/config_state.h"
+#include "core/config/config_state.h"
 
-#include "core/config_change.h"
+#include "core/config/config_change.h"
 
 #include <fmt/format.h>
 #include <utility>
--- a/core/config_state.h
+++ b/core/config/config_state.h
@@ -10,7 +10,7 @@
 #ifndef FIREFLYROUTE_CORE_CONFIG_STATE_H
 #define FIREFLYROUTE_CORE_CONFIG_STATE_H
 
-#include "core/control_command.h"
+#include "core/config/control_command.h"
 
 #include <deque>
 #include <map>
--- a/core/control_command.h
+++ b/core/config/control_command.h
@@ -8,12 +8,12 @@
 #ifndef FIREFLYROUTE_CORE_CONTROL_COMMAND_H
 #define FIREFLYROUTE_CORE_CONTROL_COMMAND_H
 
-#include "core/claim_command.h"
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/fleet_config.h"
-#include "core/ledger_types.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
+#include "core/config/fleet_config.h"
+#include "core/ledger/claim_command.h"
+#include "core/ledger/ledger_types.h"
 
 #include <variant>
 #include <vector>
--- a/core/control_messages.h
+++ b/core/config/control_messages.h
@@ -4,8 +4,8 @@
 #ifndef FIREFLYROUTE_CORE_CONTROL_MESSAGES_H
 #define FIREFLYROUTE_CORE_CONTROL_MESSAGES_H
 
-#include "core/clock.h"
-#include "core/control_command.h"
+#include "core/common/clock.h"
+#include "core/config/control_command.h"
 
 #include <array>
 #include <cstdint>
--- a/core/control_state.cpp
+++ b/core/config/control_state.cpp
@@ -1,6 +1,6 @@
 // Dispatches replicated commands to the configuration and the ledger.
 
-#include "core/control_state.h"
+#include "core/config/control_state.h"
 
 namespace fireflyroute::core {
 
--- a/core/control_state.h
+++ b/core/config/control_state.h
@@ -5,8 +5,8 @@
 #ifndef FIREFLYROUTE_CORE_CONTROL_STATE_H
 #define FIREFLYROUTE_CORE_CONTROL_STATE_H
 
-#include "core/config_state.h"
-#include "core/ledger.h"
+#include "core/config/config_state.h"
+#include "core/ledger/ledger.h"
 
 namespace fireflyroute::core {
 
--- a/core/fleet_config.cpp
+++ b/core/config/fleet_config.cpp
@@ -1,6 +1,6 @@
 // Look-ups and validation of the fleet configuration.
 
-#include "core/fleet_config.h"
+#include "core/config/fleet_config.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/fleet_config.h
+++ b/core/config/fleet_config.h
@@ -10,9 +10,9 @@
 #ifndef FIREFLYROUTE_CORE_FLEET_CONFIG_H
 #define FIREFLYROUTE_CORE_FLEET_CONFIG_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/rollout_change.cpp
+++ b/core/config/rollout_change.cpp
@@ -1,6 +1,6 @@
 // State transitions of a roll-out.
 
-#include "core/rollout_change.h"
+#include "core/config/rollout_change.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/rollout_change.h
+++ b/core/config/rollout_change.h
@@ -7,7 +7,7 @@
 #ifndef FIREFLYROUTE_CORE_ROLLOUT_CHANGE_H
 #define FIREFLYROUTE_CORE_ROLLOUT_CHANGE_H
 
-#include "core/control_command.h"
+#include "core/config/control_command.h"
 
 namespace fireflyroute::core {
 
--- a/core/site_config.cpp
+++ b/core/config/site_config.cpp
@@ -1,6 +1,6 @@
 // Validation of a site's configuration, and lookups in it.
 
-#include "core/site_config.h"
+#include "core/config/site_config.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/site_config.h
+++ b/core/config/site_config.h
@@ -9,10 +9,10 @@
 #ifndef FIREFLYROUTE_CORE_SITE_CONFIG_H
 #define FIREFLYROUTE_CORE_SITE_CONFIG_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/region_policy.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
+#include "core/places/region_policy.h"
 
 #include <array>
 #include <cstdint>
--- a/core/testing/control_state_test.cpp
+++ b/core/config/testing/control_state_test.cpp
@@ -1,7 +1,7 @@
 // Tests compare-and-set, resent commands and put-if-absent in the replicated state.
 
 #define BOOST_TEST_MODULE control_state
-#include "core/control_state.h"
+#include "core/config/control_state.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/fleet_config_test.cpp
+++ b/core/config/testing/fleet_config_test.cpp
@@ -1,7 +1,7 @@
 // Tests validation and permission rules of the fleet configuration.
 
 #define BOOST_TEST_MODULE fleet_config
-#include "core/fleet_config.h"
+#include "core/config/fleet_config.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/site_config_test.cpp
+++ b/core/config/testing/site_config_test.cpp
@@ -1,7 +1,7 @@
 // Validation of a site's configuration, and lookups by host, path and key.
 
 #define BOOST_TEST_MODULE site_config
-#include "core/site_config.h"
+#include "core/config/site_config.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/directory.cpp
+++ b/core/endpoints/directory.cpp
@@ -1,7 +1,7 @@
 // Directory of endpoints: keeps the newest announcement of each endpoint and expires endpoints that
 // stop announcing.
 
-#include "core/directory.h"
+#include "core/endpoints/directory.h"
 
 #include <utility>
 
--- a/core/directory.h
+++ b/core/endpoints/directory.h
@@ -13,7 +13,7 @@
 #ifndef FIREFLYROUTE_CORE_DIRECTORY_H
 #define FIREFLYROUTE_CORE_DIRECTORY_H
 
-#include "core/endpoint.h"
+#include "core/endpoints/endpoint.h"
 
 #include <map>
 #include <memory>
--- a/core/endpoint.h
+++ b/core/endpoints/endpoint.h
@@ -4,8 +4,8 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_H
 #define FIREFLYROUTE_CORE_ENDPOINT_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/endpoint_registry.cpp
+++ b/core/endpoints/endpoint_registry.cpp
@@ -1,6 +1,6 @@
 // Merges endpoint records into the registry.
 
-#include "core/endpoint_registry.h"
+#include "core/endpoints/endpoint_registry.h"
 
 #include <tuple>
 
--- a/core/endpoint_registry.h
+++ b/core/endpoints/endpoint_registry.h
@@ -15,8 +15,8 @@
 #ifndef FIREFLYROUTE_CORE_ENDPOINT_REGISTRY_H
 #define FIREFLYROUTE_CORE_ENDPOINT_REGISTRY_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/testing/directory_test.cpp
+++ b/core/endpoints/testing/directory_test.cpp
@@ -1,7 +1,7 @@
 // Tests the directory with delayed, repeated and reordered announcements, and its expiry.
 
 #define BOOST_TEST_MODULE directory
-#include "core/directory.h"
+#include "core/endpoints/directory.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/endpoint_registry_test.cpp
+++ b/core/endpoints/testing/endpoint_registry_test.cpp
@@ -1,7 +1,7 @@
 // Merging of endpoint records in any order, with reused ids and addresses.
 
 #define BOOST_TEST_MODULE endpoint_registry
-#include "core/endpoint_registry.h"
+#include "core/endpoints/endpoint_registry.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/replica.cpp
+++ b/core/group/replica.cpp
@@ -1,6 +1,6 @@
 // Inputs, terms, writes, and actions after a commit.
 
-#include "core/replica.h"
+#include "core/group/replica.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/replica.h
+++ b/core/group/replica.h
@@ -30,13 +30,13 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_H
 #define FIREFLYROUTE_CORE_REPLICA_H
 
-#include "core/clock.h"
-#include "core/replica_actions.h"
-#include "core/replica_config.h"
-#include "core/replica_election.h"
-#include "core/replica_log.h"
-#include "core/replica_progress.h"
-#include "core/replica_writes.h"
+#include "core/common/clock.h"
+#include "core/group/replica_actions.h"
+#include "core/group/replica_config.h"
+#include "core/group/replica_election.h"
+#include "core/group/replica_log.h"
+#include "core/group/replica_progress.h"
+#include "core/group/replica_writes.h"
 
 #include <deque>
 #include <map>
--- a/core/replica_actions.h
+++ b/core/group/replica_actions.h
@@ -4,8 +4,8 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_ACTIONS_H
 #define FIREFLYROUTE_CORE_REPLICA_ACTIONS_H
 
-#include "core/replica_membership.h"
-#include "core/replication_types.h"
+#include "core/group/replica_membership.h"
+#include "core/group/replication_types.h"
 
 namespace fireflyroute::core {
 
--- a/core/replica_campaign.cpp
+++ b/core/group/replica_campaign.cpp
@@ -1,6 +1,6 @@
 // Elections: pre-vote, vote, leadership transfer, and join requests.
 
-#include "core/replica.h"
+#include "core/group/replica.h"
 
 #include <set>
 #include <utility>
--- a/core/replica_election.h
+++ b/core/group/replica_election.h
@@ -7,7 +7,7 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_ELECTION_H
 #define FIREFLYROUTE_CORE_REPLICA_ELECTION_H
 
-#include "core/replica_membership.h"
+#include "core/group/replica_membership.h"
 
 #include <set>
 
--- a/core/replica_follower.cpp
+++ b/core/group/replica_follower.cpp
@@ -1,6 +1,6 @@
 // Follower: entries and snapshots received from the leader.
 
-#include "core/replica.h"
+#include "core/group/replica.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/replica_leader.cpp
+++ b/core/group/replica_leader.cpp
@@ -1,6 +1,6 @@
 // Leader: replication, commit by counting, lease, reads, membership and transfer.
 
-#include "core/replica.h"
+#include "core/group/replica.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/replica_log.cpp
+++ b/core/group/replica_log.cpp
@@ -1,6 +1,6 @@
 // The in-memory log after a snapshot.
 
-#include "core/replica_log.h"
+#include "core/group/replica_log.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/replica_log.h
+++ b/core/group/replica_log.h
@@ -9,7 +9,7 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_LOG_H
 #define FIREFLYROUTE_CORE_REPLICA_LOG_H
 
-#include "core/replication_types.h"
+#include "core/group/replication_types.h"
 
 #include <deque>
 #include <map>
--- a/core/replica_membership.cpp
+++ b/core/group/replica_membership.cpp
@@ -1,6 +1,6 @@
 // Quorums and single-member changes.
 
-#include "core/replica_membership.h"
+#include "core/group/replica_membership.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/replica_membership.h
+++ b/core/group/replica_membership.h
@@ -9,8 +9,8 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_MEMBERSHIP_H
 #define FIREFLYROUTE_CORE_REPLICA_MEMBERSHIP_H
 
-#include "core/errors.h"
-#include "core/replication_types.h"
+#include "core/common/errors.h"
+#include "core/group/replication_types.h"
 
 namespace fireflyroute::core {
 
--- a/core/replica_progress.cpp
+++ b/core/group/replica_progress.cpp
@@ -1,8 +1,8 @@
 // Replication progress of the members, and majorities over it.
 
-#include "core/replica_progress.h"
+#include "core/group/replica_progress.h"
 
-#include "core/replica_membership.h"
+#include "core/group/replica_membership.h"
 
 #include <algorithm>
 #include <functional>
--- a/core/replica_progress.h
+++ b/core/group/replica_progress.h
@@ -8,8 +8,8 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_PROGRESS_H
 #define FIREFLYROUTE_CORE_REPLICA_PROGRESS_H
 
-#include "core/clock.h"
-#include "core/replication_types.h"
+#include "core/common/clock.h"
+#include "core/group/replication_types.h"
 
 #include <deque>
 #include <map>
--- a/core/replica_writes.h
+++ b/core/group/replica_writes.h
@@ -8,7 +8,7 @@
 #ifndef FIREFLYROUTE_CORE_REPLICA_WRITES_H
 #define FIREFLYROUTE_CORE_REPLICA_WRITES_H
 
-#include "core/replica_actions.h"
+#include "core/group/replica_actions.h"
 
 #include <algorithm>
 #include <deque>
--- a/core/replication_types.h
+++ b/core/group/replication_types.h
@@ -8,7 +8,7 @@
 #ifndef FIREFLYROUTE_CORE_REPLICATION_TYPES_H
 #define FIREFLYROUTE_CORE_REPLICATION_TYPES_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <compare>
--- a/core/testing/replica_explorer_test.cpp
+++ b/core/group/testing/replica_explorer_test.cpp
@@ -3,7 +3,7 @@
 // environment variable REPLICA_SEED.
 
 #define BOOST_TEST_MODULE replica_explorer
-#include "core/testing/replica_harness.h"
+#include "core/group/testing/replica_harness.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
--- a/core/testing/replica_faults_test.cpp
+++ b/core/group/testing/replica_faults_test.cpp
@@ -1,7 +1,7 @@
 // Fault matrix of the replicated log: each test injects one fault at one step.
 
 #define BOOST_TEST_MODULE replica_faults
-#include "core/testing/replica_harness.h"
+#include "core/group/testing/replica_harness.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/replica_growth_test.cpp
+++ b/core/group/testing/replica_growth_test.cpp
@@ -2,7 +2,7 @@
 // and VMs meanwhile. Acknowledged entries must survive the loss of any two disks.
 
 #define BOOST_TEST_MODULE replica_growth
-#include "core/testing/replica_harness.h"
+#include "core/group/testing/replica_harness.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
--- a/core/testing/replica_harness.h
+++ b/core/group/testing/replica_harness.h
@@ -11,7 +11,7 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_REPLICA_HARNESS_H
 #define FIREFLYROUTE_CORE_TESTING_REPLICA_HARNESS_H
 
-#include "core/replica.h"
+#include "core/group/replica.h"
 
 #include <fmt/format.h>
 #include <functional>
--- a/core/testing/replication_benchmark.cpp
+++ b/core/group/testing/replication_benchmark.cpp
@@ -1,7 +1,7 @@
 // Measures the CPU cost of the replicated log: commits by batch size and number of voters, with
 // disks and network that take no time.
 
-#include "core/replica.h"
+#include "core/group/replica.h"
 
 #include <benchmark/benchmark.h>
 #include <deque>
--- a/core/config_currency.h
+++ b/core/leases/config_currency.h
@@ -11,7 +11,7 @@
 #ifndef FIREFLYROUTE_CORE_CONFIG_CURRENCY_H
 #define FIREFLYROUTE_CORE_CONFIG_CURRENCY_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/core/config_lease.h
+++ b/core/leases/config_lease.h
@@ -18,7 +18,7 @@
 #ifndef FIREFLYROUTE_CORE_CONFIG_LEASE_H
 #define FIREFLYROUTE_CORE_CONFIG_LEASE_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/core/entry_registry.cpp
+++ b/core/leases/entry_registry.cpp
@@ -1,6 +1,6 @@
 // Heartbeats of VMs, and detection of failed VMs.
 
-#include "core/entry_registry.h"
+#include "core/leases/entry_registry.h"
 
 #include <algorithm>
 
--- a/core/entry_registry.h
+++ b/core/leases/entry_registry.h
@@ -12,8 +12,8 @@
 #ifndef FIREFLYROUTE_CORE_ENTRY_REGISTRY_H
 #define FIREFLYROUTE_CORE_ENTRY_REGISTRY_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <compare>
--- a/core/in_force.cpp
+++ b/core/leases/in_force.cpp
@@ -1,6 +1,6 @@
 // Tracks outstanding leases per entry and computes the newest revision in force.
 
-#include "core/in_force.h"
+#include "core/leases/in_force.h"
 
 #include <algorithm>
 
--- a/core/in_force.h
+++ b/core/leases/in_force.h
@@ -19,8 +19,8 @@
 #ifndef FIREFLYROUTE_CORE_IN_FORCE_H
 #define FIREFLYROUTE_CORE_IN_FORCE_H
 
-#include "core/config_lease.h"
-#include "core/entry_registry.h"
+#include "core/leases/config_lease.h"
+#include "core/leases/entry_registry.h"
 
 #include <deque>
 #include <map>
--- a/core/lease_grant.cpp
+++ b/core/leases/lease_grant.cpp
@@ -1,6 +1,6 @@
 // Grants configuration leases on the leader.
 
-#include "core/lease_grant.h"
+#include "core/leases/lease_grant.h"
 
 #include <fmt/format.h>
 
--- a/core/lease_grant.h
+++ b/core/leases/lease_grant.h
@@ -13,8 +13,8 @@
 #ifndef FIREFLYROUTE_CORE_LEASE_GRANT_H
 #define FIREFLYROUTE_CORE_LEASE_GRANT_H
 
-#include "core/errors.h"
-#include "core/in_force.h"
+#include "core/common/errors.h"
+#include "core/leases/in_force.h"
 
 namespace fireflyroute::core {
 
--- a/core/lease_holder.cpp
+++ b/core/leases/lease_holder.cpp
@@ -1,6 +1,6 @@
 // Holds the configuration lease of an entry.
 
-#include "core/lease_holder.h"
+#include "core/leases/lease_holder.h"
 
 #include <algorithm>
 
--- a/core/lease_holder.h
+++ b/core/leases/lease_holder.h
@@ -16,7 +16,7 @@
 #ifndef FIREFLYROUTE_CORE_LEASE_HOLDER_H
 #define FIREFLYROUTE_CORE_LEASE_HOLDER_H
 
-#include "core/lease_grant.h"
+#include "core/leases/lease_grant.h"
 
 #include <array>
 #include <deque>
--- a/core/testing/config_currency_test.cpp
+++ b/core/leases/testing/config_currency_test.cpp
@@ -1,7 +1,7 @@
 // Tests the freshness period within which an entry may rely on its state.
 
 #define BOOST_TEST_MODULE config_freshness
-#include "core/config_currency.h"
+#include "core/leases/config_currency.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/entry_registry_test.cpp
+++ b/core/leases/testing/entry_registry_test.cpp
@@ -1,7 +1,7 @@
 // Detection of alive, leaving and failed VMs, and of lost claimants.
 
 #define BOOST_TEST_MODULE entry_registry
-#include "core/entry_registry.h"
+#include "core/leases/entry_registry.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/lease_fixture.h
+++ b/core/leases/testing/lease_fixture.h
@@ -5,7 +5,7 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_LEASE_FIXTURE_H
 #define FIREFLYROUTE_CORE_TESTING_LEASE_FIXTURE_H
 
-#include "core/lease_holder.h"
+#include "core/leases/lease_holder.h"
 
 #include <utility>
 #include <variant>
--- a/core/testing/lease_test.cpp
+++ b/core/leases/testing/lease_test.cpp
@@ -2,7 +2,7 @@
 // was reported in force, and a change is in force within 4 s.
 
 #define BOOST_TEST_MODULE lease
-#include "core/testing/lease_fixture.h"
+#include "core/leases/testing/lease_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
--- a/core/claim_command.h
+++ b/core/ledger/claim_command.h
@@ -6,9 +6,9 @@
 #ifndef FIREFLYROUTE_CORE_CLAIM_COMMAND_H
 #define FIREFLYROUTE_CORE_CLAIM_COMMAND_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <string>
--- a/core/claim_sweep.cpp
+++ b/core/ledger/claim_sweep.cpp
@@ -1,6 +1,6 @@
 // Builds the claim commands that the leader replicates.
 
-#include "core/claim_sweep.h"
+#include "core/ledger/claim_sweep.h"
 
 #include <fmt/format.h>
 
--- a/core/claim_sweep.h
+++ b/core/ledger/claim_sweep.h
@@ -11,9 +11,9 @@
 #ifndef FIREFLYROUTE_CORE_CLAIM_SWEEP_H
 #define FIREFLYROUTE_CORE_CLAIM_SWEEP_H
 
-#include "core/config_lease.h"
-#include "core/entry_registry.h"
-#include "core/ledger.h"
+#include "core/leases/config_lease.h"
+#include "core/leases/entry_registry.h"
+#include "core/ledger/ledger.h"
 
 #include <vector>
 
--- a/core/ledger.cpp
+++ b/core/ledger/ledger.cpp
@@ -1,9 +1,9 @@
 // Put-if-absent and compare-and-set of ledger records.
 
-#include "core/ledger.h"
+#include "core/ledger/ledger.h"
 
-#include "core/ledger_claims.h"
-#include "core/ledger_shard.h"
+#include "core/ledger/ledger_claims.h"
+#include "core/ledger/ledger_shard.h"
 
 #include <algorithm>
 
--- a/core/ledger.h
+++ b/core/ledger/ledger.h
@@ -7,8 +7,8 @@
 #ifndef FIREFLYROUTE_CORE_LEDGER_H
 #define FIREFLYROUTE_CORE_LEDGER_H
 
-#include "core/claim_command.h"
-#include "core/ledger_types.h"
+#include "core/ledger/claim_command.h"
+#include "core/ledger/ledger_types.h"
 
 #include <map>
 #include <set>
--- a/core/ledger_claims.cpp
+++ b/core/ledger/ledger_claims.cpp
@@ -1,6 +1,6 @@
 // Ledger operations and outcomes of the claim lifecycle.
 
-#include "core/ledger_claims.h"
+#include "core/ledger/ledger_claims.h"
 
 namespace fireflyroute::core {
 
--- a/core/ledger_claims.h
+++ b/core/ledger/ledger_claims.h
@@ -18,9 +18,9 @@
 #ifndef FIREFLYROUTE_CORE_LEDGER_CLAIMS_H
 #define FIREFLYROUTE_CORE_LEDGER_CLAIMS_H
 
-#include "core/config_lease.h"
-#include "core/entry_registry.h"
-#include "core/ledger_types.h"
+#include "core/leases/config_lease.h"
+#include "core/leases/entry_registry.h"
+#include "core/ledger/ledger_types.h"
 
 #include <array>
 #include <string>
--- a/core/ledger_shard.cpp
+++ b/core/ledger/ledger_shard.cpp
@@ -1,6 +1,6 @@
 // Hashes ledger keys and decodes the time in version 7 UUIDs.
 
-#include "core/ledger_shard.h"
+#include "core/ledger/ledger_shard.h"
 
 #include <boost/crc.hpp>
 #include <charconv>
--- a/core/ledger_shard.h
+++ b/core/ledger/ledger_shard.h
@@ -3,8 +3,8 @@
 #ifndef FIREFLYROUTE_CORE_LEDGER_SHARD_H
 #define FIREFLYROUTE_CORE_LEDGER_SHARD_H
 
-#include "core/clock.h"
-#include "core/ledger_types.h"
+#include "core/common/clock.h"
+#include "core/ledger/ledger_types.h"
 
 #include <optional>
 
--- a/core/ledger_types.h
+++ b/core/ledger/ledger_types.h
@@ -9,9 +9,9 @@
 #ifndef FIREFLYROUTE_CORE_LEDGER_TYPES_H
 #define FIREFLYROUTE_CORE_LEDGER_TYPES_H
 
-#include "core/clock.h"
-#include "core/enum_names.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/enum_names.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/load_plan.cpp
+++ b/core/load/load_plan.cpp
@@ -1,7 +1,7 @@
 // Poisson arrivals and selection of request kinds. The generators are Boost's, because they produce
 // the same sequence on every platform.
 
-#include "core/load_plan.h"
+#include "core/load/load_plan.h"
 
 #include <boost/random/discrete_distribution.hpp>
 #include <boost/random/exponential_distribution.hpp>
--- a/core/load_plan.h
+++ b/core/load/load_plan.h
@@ -9,9 +9,9 @@
 #ifndef FIREFLYROUTE_CORE_LOAD_PLAN_H
 #define FIREFLYROUTE_CORE_LOAD_PLAN_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 
 #include <chrono>
 #include <cstdint>
--- a/core/load_plot.cpp
+++ b/core/load/load_plot.cpp
@@ -1,6 +1,6 @@
 // Renders the latency plot.
 
-#include "core/load_plot.h"
+#include "core/load/load_plot.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/load_plot.h
+++ b/core/load/load_plot.h
@@ -5,7 +5,7 @@
 #ifndef FIREFLYROUTE_CORE_LOAD_PLOT_H
 #define FIREFLYROUTE_CORE_LOAD_PLOT_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <string>
 #include <vector>
--- a/core/testing/load_plan_test.cpp
+++ b/core/load/testing/load_plan_test.cpp
@@ -2,7 +2,7 @@
 
 #define BOOST_TEST_MODULE load_plan_test
 
-#include "core/load_plan.h"
+#include "core/load/load_plan.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/core/path_monitor.cpp
+++ b/core/paths/path_monitor.cpp
@@ -1,6 +1,6 @@
 // Detection of a lost path to the endpoints.
 
-#include "core/path_monitor.h"
+#include "core/paths/path_monitor.h"
 
 #include <algorithm>
 #include <set>
--- a/core/relay_choice.cpp
+++ b/core/paths/relay_choice.cpp
@@ -1,6 +1,6 @@
 // Choice of relays.
 
-#include "core/relay_choice.h"
+#include "core/paths/relay_choice.h"
 
 #include <functional>
 
--- a/core/relay_choice.h
+++ b/core/paths/relay_choice.h
@@ -8,8 +8,8 @@
 #ifndef FIREFLYROUTE_CORE_RELAY_CHOICE_H
 #define FIREFLYROUTE_CORE_RELAY_CHOICE_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <map>
 #include <optional>
--- a/core/relay_directory.cpp
+++ b/core/paths/relay_directory.cpp
@@ -1,8 +1,8 @@
 // Reports of the entries, and the choice of their relays.
 
-#include "core/relay_directory.h"
+#include "core/paths/relay_directory.h"
 
-#include "core/stable_hash.h"
+#include "core/common/stable_hash.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/relay_directory.h
+++ b/core/paths/relay_directory.h
@@ -18,9 +18,9 @@
 #ifndef FIREFLYROUTE_CORE_RELAY_DIRECTORY_H
 #define FIREFLYROUTE_CORE_RELAY_DIRECTORY_H
 
-#include "core/clock.h"
-#include "core/regions.h"
-#include "core/site_messages.h"
+#include "core/common/clock.h"
+#include "core/places/regions.h"
+#include "core/site/site_messages.h"
 
 #include <array>
 #include <map>
--- a/core/testing/path_monitor_test.cpp
+++ b/core/paths/testing/path_monitor_test.cpp
@@ -1,8 +1,8 @@
 // Unit tests of the detection of a lost path to the endpoints, and of the choice of relays.
 
 #define BOOST_TEST_MODULE path_monitor
-#include "core/path_monitor.h"
-#include "core/relay_choice.h"
+#include "core/paths/path_monitor.h"
+#include "core/paths/relay_choice.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
--- a/core/testing/relay_directory_benchmark.cpp
+++ b/core/paths/testing/relay_directory_benchmark.cpp
@@ -2,7 +2,7 @@
 // two regions: for one probe, for an interval without changes, for an interval in which the
 // isolation of one entry changed, and for one in which that of a whole data centre changed.
 
-#include "core/relay_directory.h"
+#include "core/paths/relay_directory.h"
 
 #include <benchmark/benchmark.h>
 
--- a/core/testing/relay_directory_test.cpp
+++ b/core/paths/testing/relay_directory_test.cpp
@@ -1,7 +1,7 @@
 // Tests which relays the leader chooses for each entry, and which entries get new lists.
 
 #define BOOST_TEST_MODULE relay_directory
-#include "core/relay_directory.h"
+#include "core/paths/relay_directory.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/core/evacuation.h
+++ b/core/places/evacuation.h
@@ -5,8 +5,8 @@
 #ifndef FIREFLYROUTE_CORE_EVACUATION_H
 #define FIREFLYROUTE_CORE_EVACUATION_H
 
-#include "core/endpoint_registry.h"
-#include "core/site_state.h"
+#include "core/endpoints/endpoint_registry.h"
+#include "core/site/site_state.h"
 
 #include <algorithm>
 #include <vector>
--- a/core/region_policy.cpp
+++ b/core/places/region_policy.cpp
@@ -1,6 +1,6 @@
 // Restriction of requests to regions.
 
-#include "core/region_policy.h"
+#include "core/places/region_policy.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/region_policy.h
+++ b/core/places/region_policy.h
@@ -11,7 +11,7 @@
 #ifndef FIREFLYROUTE_CORE_REGION_POLICY_H
 #define FIREFLYROUTE_CORE_REGION_POLICY_H
 
-#include "core/regions.h"
+#include "core/places/regions.h"
 
 #include <initializer_list>
 #include <string>
--- a/core/regions.h
+++ b/core/places/regions.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_CORE_REGIONS_H
 #define FIREFLYROUTE_CORE_REGIONS_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <map>
 #include <string>
--- a/core/testing/region_policy_test.cpp
+++ b/core/places/testing/region_policy_test.cpp
@@ -3,7 +3,7 @@
 // have none.
 
 #define BOOST_TEST_MODULE region_policy
-#include "core/region_policy.h"
+#include "core/places/region_policy.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/quality_estimate.cpp
+++ b/core/quality/quality_estimate.cpp
@@ -1,6 +1,6 @@
 // Rating counts and the exponentially forgetting estimate.
 
-#include "core/quality_estimate.h"
+#include "core/quality/quality_estimate.h"
 
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
--- a/core/quality_estimate.h
+++ b/core/quality/quality_estimate.h
@@ -20,7 +20,7 @@
 #ifndef FIREFLYROUTE_CORE_QUALITY_ESTIMATE_H
 #define FIREFLYROUTE_CORE_QUALITY_ESTIMATE_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/quality_table.cpp
+++ b/core/quality/quality_table.cpp
@@ -1,6 +1,6 @@
 // Records, exchanges and merges ratings.
 
-#include "core/quality_table.h"
+#include "core/quality/quality_table.h"
 
 #include <utility>
 
--- a/core/quality_table.h
+++ b/core/quality/quality_table.h
@@ -13,7 +13,7 @@
 #ifndef FIREFLYROUTE_CORE_QUALITY_TABLE_H
 #define FIREFLYROUTE_CORE_QUALITY_TABLE_H
 
-#include "core/quality_estimate.h"
+#include "core/quality/quality_estimate.h"
 
 #include <memory>
 #include <unordered_map>
--- a/core/rating_policy.h
+++ b/core/quality/rating_policy.h
@@ -13,8 +13,8 @@
 #ifndef FIREFLYROUTE_CORE_RATING_POLICY_H
 #define FIREFLYROUTE_CORE_RATING_POLICY_H
 
-#include "core/clock.h"
-#include "core/quality_estimate.h"
+#include "core/common/clock.h"
+#include "core/quality/quality_estimate.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/core/sequential_test.cpp
+++ b/core/quality/sequential_test.cpp
@@ -1,6 +1,6 @@
 // Updates the wealth of the bets from batches of rating counts.
 
-#include "core/sequential_test.h"
+#include "core/quality/sequential_test.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/sequential_test.h
+++ b/core/quality/sequential_test.h
@@ -18,7 +18,7 @@
 #ifndef FIREFLYROUTE_CORE_SEQUENTIAL_TEST_H
 #define FIREFLYROUTE_CORE_SEQUENTIAL_TEST_H
 
-#include "core/quality_estimate.h"
+#include "core/quality/quality_estimate.h"
 
 #include <array>
 
--- a/core/testing/quality_test.cpp
+++ b/core/quality/testing/quality_test.cpp
@@ -1,8 +1,8 @@
 // Unit tests of quality estimates, their exchange between entries, and the rating policy.
 
 #define BOOST_TEST_MODULE quality
-#include "core/quality_table.h"
-#include "core/rating_policy.h"
+#include "core/quality/quality_table.h"
+#include "core/quality/rating_policy.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
--- a/core/testing/sequential_test_test.cpp
+++ b/core/quality/testing/sequential_test_test.cpp
@@ -1,7 +1,7 @@
 // Error rates and detection delay of the sequential test.
 
 #define BOOST_TEST_MODULE sequential_test
-#include "core/sequential_test.h"
+#include "core/quality/sequential_test.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cmath>
--- a/core/crash_attribution.cpp
+++ b/core/quarantine/crash_attribution.cpp
@@ -1,6 +1,6 @@
 // Evidence against the traits of requests.
 
-#include "core/crash_attribution.h"
+#include "core/quarantine/crash_attribution.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/crash_attribution.h
+++ b/core/quarantine/crash_attribution.h
@@ -15,8 +15,8 @@
 #ifndef FIREFLYROUTE_CORE_CRASH_ATTRIBUTION_H
 #define FIREFLYROUTE_CORE_CRASH_ATTRIBUTION_H
 
-#include "core/clock.h"
-#include "core/site_messages.h"
+#include "core/common/clock.h"
+#include "core/site/site_messages.h"
 
 #include <cstdint>
 #include <deque>
--- a/core/crash_watch.cpp
+++ b/core/quarantine/crash_watch.cpp
@@ -1,6 +1,6 @@
 // Observations of an entry about requests that crash endpoints.
 
-#include "core/crash_watch.h"
+#include "core/quarantine/crash_watch.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/crash_watch.h
+++ b/core/quarantine/crash_watch.h
@@ -14,9 +14,9 @@
 #ifndef FIREFLYROUTE_CORE_CRASH_WATCH_H
 #define FIREFLYROUTE_CORE_CRASH_WATCH_H
 
-#include "core/clock.h"
-#include "core/site_calls.h"
-#include "core/site_messages.h"
+#include "core/calls/site_calls.h"
+#include "core/common/clock.h"
+#include "core/site/site_messages.h"
 
 #include <cstdint>
 #include <map>
--- a/core/quarantine.cpp
+++ b/core/quarantine/quarantine.cpp
@@ -1,6 +1,6 @@
 // Suspect records, quarantine decisions and their exchange between entries.
 
-#include "core/quarantine.h"
+#include "core/quarantine/quarantine.h"
 
 #include <algorithm>
 #include <boost/uuid/name_generator_sha1.hpp>
--- a/core/quarantine.h
+++ b/core/quarantine/quarantine.h
@@ -20,9 +20,9 @@
 #ifndef FIREFLYROUTE_CORE_QUARANTINE_H
 #define FIREFLYROUTE_CORE_QUARANTINE_H
 
-#include "core/clock.h"
-#include "core/errors.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 
 #include <boost/uuid/uuid.hpp>
 #include <map>
--- a/core/testing/crash_attribution_test.cpp
+++ b/core/quarantine/testing/crash_attribution_test.cpp
@@ -2,9 +2,9 @@
 // it.
 
 #define BOOST_TEST_MODULE crash_attribution
-#include "core/crash_attribution.h"
+#include "core/quarantine/crash_attribution.h"
 
-#include "core/crash_watch.h"
+#include "core/quarantine/crash_watch.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/quarantine_test.cpp
+++ b/core/quarantine/testing/quarantine_test.cpp
@@ -2,7 +2,7 @@
 // that were in flight.
 
 #define BOOST_TEST_MODULE quarantine
-#include "core/quarantine.h"
+#include "core/quarantine/quarantine.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/event_stream.cpp
+++ b/core/requests/event_stream.cpp
@@ -1,6 +1,6 @@
 // Splits event streams and filters events by id.
 
-#include "core/event_stream.h"
+#include "core/requests/event_stream.h"
 
 #include <algorithm>
 #include <charconv>
--- a/core/event_stream.h
+++ b/core/requests/event_stream.h
@@ -11,7 +11,7 @@
 #ifndef FIREFLYROUTE_CORE_EVENT_STREAM_H
 #define FIREFLYROUTE_CORE_EVENT_STREAM_H
 
-#include "core/enum_names.h"
+#include "core/common/enum_names.h"
 
 #include <array>
 #include <cstdint>
--- a/core/fleet_policy.cpp
+++ b/core/requests/fleet_policy.cpp
@@ -1,6 +1,6 @@
 // Implements the routing policy concept with version choice and endpoint choice.
 
-#include "core/fleet_policy.h"
+#include "core/requests/fleet_policy.h"
 
 namespace fireflyroute::core {
 
--- a/core/fleet_policy.h
+++ b/core/requests/fleet_policy.h
@@ -11,11 +11,11 @@
 #ifndef FIREFLYROUTE_CORE_FLEET_POLICY_H
 #define FIREFLYROUTE_CORE_FLEET_POLICY_H
 
-#include "core/endpoint_choice.h"
-#include "core/exposure.h"
-#include "core/quality_table.h"
-#include "core/routing_policy.h"
-#include "core/version_choice.h"
+#include "core/balancing/endpoint_choice.h"
+#include "core/quality/quality_table.h"
+#include "core/requests/routing_policy.h"
+#include "core/versions/exposure.h"
+#include "core/versions/version_choice.h"
 
 #include <memory>
 #include <random>
--- a/core/request_machine.h
+++ b/core/requests/request_machine.h
@@ -12,10 +12,10 @@
 #ifndef FIREFLYROUTE_CORE_REQUEST_MACHINE_H
 #define FIREFLYROUTE_CORE_REQUEST_MACHINE_H
 
-#include "core/ledger_claims.h"
-#include "core/ledger_types.h"
-#include "core/request_messages.h"
-#include "core/routing_policy.h"
+#include "core/ledger/ledger_claims.h"
+#include "core/ledger/ledger_types.h"
+#include "core/requests/request_messages.h"
+#include "core/requests/routing_policy.h"
 
 #include <vector>
 
@@ -112,6 +112,6 @@
 
 } // namespace fireflyroute::core
 
-#include "core/request_machine_impl.h"
+#include "core/requests/request_machine_impl.h"
 
 #endif
--- a/core/request_machine_impl.h
+++ b/core/requests/request_machine_impl.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_CORE_REQUEST_MACHINE_IMPL_H
 #define FIREFLYROUTE_CORE_REQUEST_MACHINE_IMPL_H
 
-#include "core/request_machine.h"
+#include "core/requests/request_machine.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/request_messages.h
+++ b/core/requests/request_messages.h
@@ -3,9 +3,9 @@
 #ifndef FIREFLYROUTE_CORE_REQUEST_MESSAGES_H
 #define FIREFLYROUTE_CORE_REQUEST_MESSAGES_H
 
-#include "core/errors.h"
-#include "core/ledger_types.h"
-#include "core/routing_policy.h"
+#include "core/common/errors.h"
+#include "core/ledger/ledger_types.h"
+#include "core/requests/routing_policy.h"
 
 #include <array>
 #include <cstdint>
--- a/core/retry_budget.cpp
+++ b/core/requests/retry_budget.cpp
@@ -1,6 +1,6 @@
 // The fleet-wide retry budget.
 
-#include "core/retry_budget.h"
+#include "core/requests/retry_budget.h"
 
 #include <utility>
 
--- a/core/retry_budget.h
+++ b/core/requests/retry_budget.h
@@ -15,10 +15,10 @@
 #ifndef FIREFLYROUTE_CORE_RETRY_BUDGET_H
 #define FIREFLYROUTE_CORE_RETRY_BUDGET_H
 
-#include "core/admission_rate.h"
-#include "core/clock.h"
-#include "core/enum_names.h"
-#include "core/types.h"
+#include "core/admission/admission_rate.h"
+#include "core/common/clock.h"
+#include "core/common/enum_names.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/routing_policy.cpp
+++ b/core/requests/routing_policy.cpp
@@ -1,6 +1,6 @@
 // Checks of a version that all routing policies share.
 
-#include "core/routing_policy.h"
+#include "core/requests/routing_policy.h"
 
 namespace fireflyroute::core {
 
--- a/core/routing_policy.h
+++ b/core/requests/routing_policy.h
@@ -4,12 +4,12 @@
 #ifndef FIREFLYROUTE_CORE_ROUTING_POLICY_H
 #define FIREFLYROUTE_CORE_ROUTING_POLICY_H
 
-#include "core/caller_request.h"
-#include "core/clock.h"
-#include "core/directory.h"
-#include "core/endpoint_choice_index.h"
-#include "core/errors.h"
-#include "core/fleet_config.h"
+#include "core/balancing/endpoint_choice_index.h"
+#include "core/calls/caller_request.h"
+#include "core/common/clock.h"
+#include "core/common/errors.h"
+#include "core/config/fleet_config.h"
+#include "core/endpoints/directory.h"
 
 #include <concepts>
 #include <vector>
--- a/core/sendings.h
+++ b/core/requests/sendings.h
@@ -9,9 +9,9 @@
 #ifndef FIREFLYROUTE_CORE_SENDINGS_H
 #define FIREFLYROUTE_CORE_SENDINGS_H
 
-#include "core/enum_names.h"
-#include "core/retry_budget.h"
-#include "core/types.h"
+#include "core/common/enum_names.h"
+#include "core/common/types.h"
+#include "core/requests/retry_budget.h"
 
 #include <algorithm>
 #include <array>
--- a/core/testing/event_stream_test.cpp
+++ b/core/requests/testing/event_stream_test.cpp
@@ -1,7 +1,7 @@
 // Tests splitting of event streams and joining of several attempts of one request.
 
 #define BOOST_TEST_MODULE event_stream
-#include "core/event_stream.h"
+#include "core/requests/event_stream.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/fake_request.h
+++ b/core/requests/testing/fake_request.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_FAKE_REQUEST_H
 #define FIREFLYROUTE_CORE_TESTING_FAKE_REQUEST_H
 
-#include "core/request_machine.h"
+#include "core/requests/request_machine.h"
 
 #include <algorithm>
 #include <string>
--- a/core/testing/request_machine_test.cpp
+++ b/core/requests/testing/request_machine_test.cpp
@@ -2,7 +2,7 @@
 // are checked.
 
 #define BOOST_TEST_MODULE request_machine
-#include "core/testing/fake_request.h"
+#include "core/requests/testing/fake_request.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/retry_budget_test.cpp
+++ b/core/requests/testing/retry_budget_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of the retry budget on one and several entries, and of the rules for retries.
 
 #define BOOST_TEST_MODULE retry_budget
-#include "core/retry_budget.h"
+#include "core/requests/retry_budget.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/core/testing/sendings_test.cpp
+++ b/core/requests/testing/sendings_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of attempt limits and of the decision about further attempts.
 
 #define BOOST_TEST_MODULE attempt_tracker
-#include "core/sendings.h"
+#include "core/requests/sendings.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/prefix_cache.cpp
+++ b/core/sessions/prefix_cache.cpp
@@ -1,6 +1,6 @@
 // Estimation of cached prompt prefixes.
 
-#include "core/prefix_cache.h"
+#include "core/sessions/prefix_cache.h"
 
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
--- a/core/prefix_cache.h
+++ b/core/sessions/prefix_cache.h
@@ -13,8 +13,8 @@
 #ifndef FIREFLYROUTE_CORE_PREFIX_CACHE_H
 #define FIREFLYROUTE_CORE_PREFIX_CACHE_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <array>
 #include <cstdint>
--- a/core/prompt_index.cpp
+++ b/core/sessions/prompt_index.cpp
@@ -1,6 +1,6 @@
 // Hashes of prompt parts and their token counts.
 
-#include "core/prompt_index.h"
+#include "core/sessions/prompt_index.h"
 
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
--- a/core/prompt_index.h
+++ b/core/sessions/prompt_index.h
@@ -11,9 +11,9 @@
 #ifndef FIREFLYROUTE_CORE_PROMPT_INDEX_H
 #define FIREFLYROUTE_CORE_PROMPT_INDEX_H
 
-#include "core/prefix_cache.h"
-#include "core/site_calls.h"
-#include "core/site_messages.h"
+#include "core/calls/site_calls.h"
+#include "core/sessions/prefix_cache.h"
+#include "core/site/site_messages.h"
 
 #include <cstdint>
 #include <vector>
--- a/core/session_pins.cpp
+++ b/core/sessions/session_pins.cpp
@@ -1,8 +1,8 @@
 // Lifetimes of session pins, and their updates for other entries.
 
-#include "core/session_pins.h"
+#include "core/sessions/session_pins.h"
 
-#include "core/version_gate.h"
+#include "core/versions/version_gate.h"
 
 #include <utility>
 
--- a/core/testing/session_pins_test.cpp
+++ b/core/sessions/testing/session_pins_test.cpp
@@ -1,9 +1,9 @@
 // Sessions that move between entries during a roll-out.
 
 #define BOOST_TEST_MODULE session_pins
-#include "core/session_pins.h"
+#include "core/sessions/session_pins.h"
 
-#include "core/version_gate.h"
+#include "core/versions/version_gate.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/core/home_choice.h
+++ b/core/site/home_choice.h
@@ -9,8 +9,8 @@
 #ifndef FIREFLYROUTE_CORE_HOME_CHOICE_H
 #define FIREFLYROUTE_CORE_HOME_CHOICE_H
 
-#include "core/stable_hash.h"
-#include "core/types.h"
+#include "core/common/stable_hash.h"
+#include "core/common/types.h"
 
 #include <optional>
 #include <utility>
--- a/core/site_messages.h
+++ b/core/site/site_messages.h
@@ -4,9 +4,9 @@
 #ifndef FIREFLYROUTE_CORE_SITE_MESSAGES_H
 #define FIREFLYROUTE_CORE_SITE_MESSAGES_H
 
-#include "core/endpoint_registry.h"
-#include "core/replication_types.h"
-#include "core/site_state.h"
+#include "core/endpoints/endpoint_registry.h"
+#include "core/group/replication_types.h"
+#include "core/site/site_state.h"
 
 #include <variant>
 #include <vector>
--- a/core/site_state.cpp
+++ b/core/site/site_state.cpp
@@ -1,6 +1,6 @@
 // Commands on the replicated state of a site.
 
-#include "core/site_state.h"
+#include "core/site/site_state.h"
 
 namespace fireflyroute::core {
 
--- a/core/state_feed.cpp
+++ b/core/site/state_feed.cpp
@@ -1,6 +1,6 @@
 // Announcements of the state, and answers to requests for it.
 
-#include "core/state_feed.h"
+#include "core/site/state_feed.h"
 
 namespace fireflyroute::core {
 
--- a/core/state_feed.h
+++ b/core/site/state_feed.h
@@ -8,9 +8,9 @@
 #ifndef FIREFLYROUTE_CORE_STATE_FEED_H
 #define FIREFLYROUTE_CORE_STATE_FEED_H
 
-#include "core/clock.h"
-#include "core/site_messages.h"
-#include "core/site_state.h"
+#include "core/common/clock.h"
+#include "core/site/site_messages.h"
+#include "core/site/site_state.h"
 
 #include <cstdint>
 #include <optional>
--- a/core/state_fetch.cpp
+++ b/core/site/state_fetch.cpp
@@ -1,6 +1,6 @@
 // Selection of the control VM that an entry fetches the state from.
 
-#include "core/state_fetch.h"
+#include "core/site/state_fetch.h"
 
 #include <algorithm>
 #include <tuple>
--- a/core/state_fetch.h
+++ b/core/site/state_fetch.h
@@ -16,8 +16,8 @@
 #ifndef FIREFLYROUTE_CORE_STATE_FETCH_H
 #define FIREFLYROUTE_CORE_STATE_FETCH_H
 
-#include "core/clock.h"
-#include "core/site_messages.h"
+#include "core/common/clock.h"
+#include "core/site/site_messages.h"
 
 #include <cstdint>
 #include <map>
--- a/core/testing/control_directory_test.cpp
+++ b/core/site/testing/control_directory_test.cpp
@@ -1,7 +1,7 @@
 // Tests which control VMs a process connects to before it has a membership.
 
 #define BOOST_TEST_MODULE control_directory
-#include "core/control_directory.h"
+#include "core/site/control_directory.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/state_feed_test.cpp
+++ b/core/site/testing/state_feed_test.cpp
@@ -1,7 +1,7 @@
 // Tests what a control VM announces to an entry, and its answers to requests for the state.
 
 #define BOOST_TEST_MODULE state_feed
-#include "core/state_feed.h"
+#include "core/site/state_feed.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/state_fetch_test.cpp
+++ b/core/site/testing/state_fetch_test.cpp
@@ -1,9 +1,9 @@
 // Tests from which control VM, and how often, an entry fetches the state, also over a slow link.
 
 #define BOOST_TEST_MODULE state_fetch
-#include "core/state_fetch.h"
+#include "core/site/state_fetch.h"
 
-#include "core/state_feed.h"
+#include "core/site/state_feed.h"
 
 #include <algorithm>
 #include <array>
--- a/core/testing/update_relay_test.cpp
+++ b/core/site/testing/update_relay_test.cpp
@@ -1,8 +1,8 @@
 // Paths of entry updates through control VMs, and the choice of an entry's home.
 
 #define BOOST_TEST_MODULE update_relay
-#include "core/home_choice.h"
-#include "core/update_relay.h"
+#include "core/site/home_choice.h"
+#include "core/site/update_relay.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/core/testing/work_exchange_test.cpp
+++ b/core/site/testing/work_exchange_test.cpp
@@ -1,7 +1,7 @@
 // Sums of outstanding work over entries and control VMs.
 
 #define BOOST_TEST_MODULE work_exchange
-#include "core/work_exchange.h"
+#include "core/site/work_exchange.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
--- a/core/update_relay.cpp
+++ b/core/site/update_relay.cpp
@@ -1,6 +1,6 @@
 // Batches of entry updates.
 
-#include "core/update_relay.h"
+#include "core/site/update_relay.h"
 
 #include <utility>
 
--- a/core/update_relay.h
+++ b/core/site/update_relay.h
@@ -14,7 +14,7 @@
 #ifndef FIREFLYROUTE_CORE_UPDATE_RELAY_H
 #define FIREFLYROUTE_CORE_UPDATE_RELAY_H
 
-#include "core/site_messages.h"
+#include "core/site/site_messages.h"
 
 namespace fireflyroute::core {
 
--- a/core/work_exchange.cpp
+++ b/core/site/work_exchange.cpp
@@ -1,6 +1,6 @@
 // Running sums of outstanding work.
 
-#include "core/work_exchange.h"
+#include "core/site/work_exchange.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/core/work_exchange.h
+++ b/core/site/work_exchange.h
@@ -10,7 +10,7 @@
 #ifndef FIREFLYROUTE_CORE_WORK_EXCHANGE_H
 #define FIREFLYROUTE_CORE_WORK_EXCHANGE_H
 
-#include "core/site_messages.h"
+#include "core/site/site_messages.h"
 
 #include <map>
 #include <unordered_map>
--- a/core/stop_sequence.cpp
+++ b/core/stop/stop_sequence.cpp
@@ -1,6 +1,6 @@
 // The phases of a planned stop.
 
-#include "core/stop_sequence.h"
+#include "core/stop/stop_sequence.h"
 
 #include <algorithm>
 
--- a/core/stop_sequence.h
+++ b/core/stop/stop_sequence.h
@@ -13,8 +13,8 @@
 #ifndef FIREFLYROUTE_CORE_STOP_SEQUENCE_H
 #define FIREFLYROUTE_CORE_STOP_SEQUENCE_H
 
-#include "core/clock.h"
-#include "core/enum_names.h"
+#include "core/common/clock.h"
+#include "core/common/enum_names.h"
 
 #include <array>
 #include <cstddef>
--- a/core/testing/stop_sequence_test.cpp
+++ b/core/stop/testing/stop_sequence_test.cpp
@@ -1,7 +1,7 @@
 // Tests the phases of a planned stop: their order, what holds each of them up, and its limits.
 
 #define BOOST_TEST_MODULE stop_sequence
-#include "core/stop_sequence.h"
+#include "core/stop/stop_sequence.h"
 
 #include <algorithm>
 #include <array>
--- a/core/testing/turn_watch_test.cpp
+++ b/core/stop/testing/turn_watch_test.cpp
@@ -1,7 +1,7 @@
 // Tests the estimate of when an event arrived that a thread learns of late.
 
 #define BOOST_TEST_MODULE turn_watch
-#include "core/turn_watch.h"
+#include "core/stop/turn_watch.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/turn_watch.h
+++ b/core/stop/turn_watch.h
@@ -12,7 +12,7 @@
 #ifndef FIREFLYROUTE_CORE_TURN_WATCH_H
 #define FIREFLYROUTE_CORE_TURN_WATCH_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <algorithm>
 #include <utility>
--- a/core/testing/control_faults_test.cpp
+++ b/core/testing/control_faults_test.cpp
@@ -2,11 +2,11 @@
 // affects, and the expected result.
 
 #define BOOST_TEST_MODULE control_faults
-#include "core/claim_sweep.h"
-#include "core/control_state.h"
-#include "core/lease_grant.h"
-#include "core/ledger_claims.h"
-#include "core/rollout_schedule.h"
+#include "core/config/control_state.h"
+#include "core/leases/lease_grant.h"
+#include "core/ledger/claim_sweep.h"
+#include "core/ledger/ledger_claims.h"
+#include "core/versions/rollout_schedule.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
--- a/core/testing/endpoint_pick_test.cpp
+++ b/core/testing/endpoint_pick_test.cpp
@@ -1,9 +1,9 @@
 // Unit tests of endpoint monitoring, endpoint selection and model choice.
 
 #define BOOST_TEST_MODULE endpoint_picker
-#include "core/endpoint_pick.h"
-#include "core/model_choice.h"
-#include "core/work_exchange.h"
+#include "core/balancing/endpoint_pick.h"
+#include "core/site/work_exchange.h"
+#include "core/versions/model_choice.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
--- a/core/testing/fake_fleet.h
+++ b/core/testing/fake_fleet.h
@@ -12,8 +12,8 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_FAKE_FLEET_H
 #define FIREFLYROUTE_CORE_TESTING_FAKE_FLEET_H
 
-#include "core/admission.h"
-#include "core/endpoint_choice.h"
+#include "core/admission/admission.h"
+#include "core/balancing/endpoint_choice.h"
 
 #include <algorithm>
 #include <functional>
--- a/core/testing/ledger_test.cpp
+++ b/core/testing/ledger_test.cpp
@@ -1,9 +1,9 @@
 // Tests the lifecycle of claims, retention without repeated execution, and the export of bills.
 
 #define BOOST_TEST_MODULE ledger
-#include "core/control_state.h"
-#include "core/ledger_claims.h"
-#include "core/ledger_shard.h"
+#include "core/config/control_state.h"
+#include "core/ledger/ledger_claims.h"
+#include "core/ledger/ledger_shard.h"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
--- a/core/testing/prefix_cache_test.cpp
+++ b/core/testing/prefix_cache_test.cpp
@@ -1,9 +1,9 @@
 // Unit tests of prefix cache and load estimates with late, incomplete and missing reports.
 
 #define BOOST_TEST_MODULE prefix_cache
-#include "core/prefix_cache.h"
+#include "core/sessions/prefix_cache.h"
 
-#include "core/outstanding.h"
+#include "core/balancing/outstanding.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/core/testing/site_state_test.cpp
+++ b/core/testing/site_state_test.cpp
@@ -1,9 +1,9 @@
 // Commands on the replicated state of a site, repeated and out of order.
 
 #define BOOST_TEST_MODULE site_state
-#include "core/site_state.h"
+#include "core/site/site_state.h"
 
-#include "core/evacuation.h"
+#include "core/places/evacuation.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
--- a/core/testing/stop_model.h
+++ b/core/testing/stop_model.h
@@ -28,9 +28,9 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_STOP_MODEL_H
 #define FIREFLYROUTE_CORE_TESTING_STOP_MODEL_H
 
-#include "core/enum_names.h"
-#include "core/site_config.h"
-#include "core/stop_sequence.h"
+#include "core/common/enum_names.h"
+#include "core/config/site_config.h"
+#include "core/stop/stop_sequence.h"
 
 #include <algorithm>
 #include <array>
--- a/core/event_log.cpp
+++ b/core/timeline/event_log.cpp
@@ -1,6 +1,6 @@
 // Bounded event log, event filter, and merging of several logs.
 
-#include "core/event_log.h"
+#include "core/timeline/event_log.h"
 
 #include <algorithm>
 #include <iterator>
--- a/core/event_log.h
+++ b/core/timeline/event_log.h
@@ -12,8 +12,8 @@
 #ifndef FIREFLYROUTE_CORE_EVENT_LOG_H
 #define FIREFLYROUTE_CORE_EVENT_LOG_H
 
-#include "core/hybrid_clock.h"
-#include "core/types.h"
+#include "core/common/types.h"
+#include "core/timeline/hybrid_clock.h"
 
 #include <array>
 #include <boost/circular_buffer.hpp>
--- a/core/hybrid_clock.h
+++ b/core/timeline/hybrid_clock.h
@@ -16,7 +16,7 @@
 #ifndef FIREFLYROUTE_CORE_HYBRID_CLOCK_H
 #define FIREFLYROUTE_CORE_HYBRID_CLOCK_H
 
-#include "core/clock.h"
+#include "core/common/clock.h"
 
 #include <algorithm>
 #include <compare>
--- a/core/testing/event_log_test.cpp
+++ b/core/timeline/testing/event_log_test.cpp
@@ -1,7 +1,7 @@
 // Tests the order of timestamps with wrong clocks, and the bounded log with merging and filtering.
 
 #define BOOST_TEST_MODULE event_log
-#include "core/event_log.h"
+#include "core/timeline/event_log.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/timeline_text_test.cpp
+++ b/core/timeline/testing/timeline_text_test.cpp
@@ -2,7 +2,7 @@
 
 #define BOOST_TEST_MODULE timeline_text_test
 
-#include "core/timeline_text.h"
+#include "core/timeline/timeline_text.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/timeline_text.cpp
+++ b/core/timeline/timeline_text.cpp
@@ -1,6 +1,6 @@
 // Renders the time line as text and HTML.
 
-#include "core/timeline_text.h"
+#include "core/timeline/timeline_text.h"
 
 #include <fmt/format.h>
 
--- a/core/timeline_text.h
+++ b/core/timeline/timeline_text.h
@@ -7,7 +7,7 @@
 #ifndef FIREFLYROUTE_CORE_TIMELINE_TEXT_H
 #define FIREFLYROUTE_CORE_TIMELINE_TEXT_H
 
-#include "core/event_log.h"
+#include "core/timeline/event_log.h"
 
 #include <string>
 #include <vector>
--- a/core/cascade.cpp
+++ b/core/versions/cascade.cpp
@@ -1,6 +1,6 @@
 // State transitions of a cascade.
 
-#include "core/cascade.h"
+#include "core/versions/cascade.h"
 
 #include <algorithm>
 
--- a/core/cascade.h
+++ b/core/versions/cascade.h
@@ -11,8 +11,8 @@
 #ifndef FIREFLYROUTE_CORE_CASCADE_H
 #define FIREFLYROUTE_CORE_CASCADE_H
 
-#include "core/clock.h"
-#include "core/version_choice.h"
+#include "core/common/clock.h"
+#include "core/versions/version_choice.h"
 
 #include <cstdint>
 #include <optional>
--- a/core/exposure.cpp
+++ b/core/versions/exposure.cpp
@@ -1,6 +1,6 @@
 // Counts assignments against the exposure limit.
 
-#include "core/exposure.h"
+#include "core/versions/exposure.h"
 
 namespace fireflyroute::core {
 
--- a/core/exposure.h
+++ b/core/versions/exposure.h
@@ -15,7 +15,7 @@
 #ifndef FIREFLYROUTE_CORE_EXPOSURE_H
 #define FIREFLYROUTE_CORE_EXPOSURE_H
 
-#include "core/types.h"
+#include "core/common/types.h"
 
 #include <cstdint>
 #include <unordered_map>
--- a/core/fault_sieve.cpp
+++ b/core/versions/fault_sieve.cpp
@@ -1,6 +1,6 @@
 // Correlates failed runs within a time window.
 
-#include "core/fault_sieve.h"
+#include "core/versions/fault_sieve.h"
 
 #include <iterator>
 #include <set>
--- a/core/fault_sieve.h
+++ b/core/versions/fault_sieve.h
@@ -12,8 +12,8 @@
 #ifndef FIREFLYROUTE_CORE_FAULT_SIEVE_H
 #define FIREFLYROUTE_CORE_FAULT_SIEVE_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <deque>
 #include <string>
--- a/core/latency_baseline.h
+++ b/core/versions/latency_baseline.h
@@ -13,8 +13,8 @@
 #ifndef FIREFLYROUTE_CORE_LATENCY_BASELINE_H
 #define FIREFLYROUTE_CORE_LATENCY_BASELINE_H
 
-#include "core/clock.h"
-#include "core/types.h"
+#include "core/common/clock.h"
+#include "core/common/types.h"
 
 #include <algorithm>
 #include <array>
--- a/core/model_choice.h
+++ b/core/versions/model_choice.h
@@ -10,7 +10,7 @@
 #ifndef FIREFLYROUTE_CORE_MODEL_CHOICE_H
 #define FIREFLYROUTE_CORE_MODEL_CHOICE_H
 
-#include "core/site_config.h"
+#include "core/config/site_config.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/core/rollout_guard.cpp
+++ b/core/versions/rollout_guard.cpp
@@ -1,6 +1,6 @@
 // Tests on fleet-wide ratings, and the configuration changes that result from them.
 
-#include "core/rollout_guard.h"
+#include "core/versions/rollout_guard.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/rollout_guard.h
+++ b/core/versions/rollout_guard.h
@@ -20,9 +20,9 @@
 #ifndef FIREFLYROUTE_CORE_ROLLOUT_GUARD_H
 #define FIREFLYROUTE_CORE_ROLLOUT_GUARD_H
 
-#include "core/control_command.h"
-#include "core/quality_table.h"
-#include "core/sequential_test.h"
+#include "core/config/control_command.h"
+#include "core/quality/quality_table.h"
+#include "core/quality/sequential_test.h"
 
 #include <map>
 #include <unordered_set>
--- a/core/rollout_judge.cpp
+++ b/core/versions/rollout_judge.cpp
@@ -1,6 +1,6 @@
 // Evidence for and against a version in roll-out.
 
-#include "core/rollout_judge.h"
+#include "core/versions/rollout_judge.h"
 
 #include <algorithm>
 #include <cmath>
--- a/core/rollout_judge.h
+++ b/core/versions/rollout_judge.h
@@ -17,7 +17,7 @@
 #ifndef FIREFLYROUTE_CORE_ROLLOUT_JUDGE_H
 #define FIREFLYROUTE_CORE_ROLLOUT_JUDGE_H
 
-#include "core/site_messages.h"
+#include "core/site/site_messages.h"
 
 #include <map>
 #include <optional>
--- a/core/rollout_schedule.cpp
+++ b/core/versions/rollout_schedule.cpp
@@ -1,6 +1,6 @@
 // Proposes the next step of roll-outs.
 
-#include "core/rollout_schedule.h"
+#include "core/versions/rollout_schedule.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/core/rollout_schedule.h
+++ b/core/versions/rollout_schedule.h
@@ -17,8 +17,8 @@
 #ifndef FIREFLYROUTE_CORE_ROLLOUT_SCHEDULE_H
 #define FIREFLYROUTE_CORE_ROLLOUT_SCHEDULE_H
 
-#include "core/config_lease.h"
-#include "core/control_command.h"
+#include "core/config/control_command.h"
+#include "core/leases/config_lease.h"
 
 #include <array>
 #include <optional>
--- a/core/testing/cascade_experiment_test.cpp
+++ b/core/versions/testing/cascade_experiment_test.cpp
@@ -5,7 +5,7 @@
 // Figures are printed with their seeds.
 
 #define BOOST_TEST_MODULE cascade_experiment
-#include "core/testing/quality_experiment.h"
+#include "core/versions/testing/quality_experiment.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
--- a/core/testing/cascade_test.cpp
+++ b/core/versions/testing/cascade_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of the cascade, with missing ratings and failed steps.
 
 #define BOOST_TEST_MODULE cascade
-#include "core/cascade.h"
+#include "core/versions/cascade.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/fault_sieve_test.cpp
+++ b/core/versions/testing/fault_sieve_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of separating isolated from simultaneous failures.
 
 #define BOOST_TEST_MODULE common_cause_filter
-#include "core/fault_sieve.h"
+#include "core/versions/fault_sieve.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/latency_baseline_test.cpp
+++ b/core/versions/testing/latency_baseline_test.cpp
@@ -1,7 +1,7 @@
 // Tests which answers count as far slower than others of their route.
 
 #define BOOST_TEST_MODULE latency_baseline
-#include "core/latency_baseline.h"
+#include "core/versions/latency_baseline.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
--- a/core/testing/quality_experiment.h
+++ b/core/versions/testing/quality_experiment.h
@@ -9,11 +9,11 @@
 #ifndef FIREFLYROUTE_CORE_TESTING_QUALITY_EXPERIMENT_H
 #define FIREFLYROUTE_CORE_TESTING_QUALITY_EXPERIMENT_H
 
-#include "core/cascade.h"
-#include "core/exposure.h"
-#include "core/quality_table.h"
-#include "core/rating_policy.h"
-#include "core/rollout_guard.h"
+#include "core/quality/quality_table.h"
+#include "core/quality/rating_policy.h"
+#include "core/versions/cascade.h"
+#include "core/versions/exposure.h"
+#include "core/versions/rollout_guard.h"
 
 #include <map>
 #include <memory>
--- a/core/testing/rollout_guard_test.cpp
+++ b/core/versions/testing/rollout_guard_test.cpp
@@ -2,7 +2,7 @@
 // any.
 
 #define BOOST_TEST_MODULE rollout_guard
-#include "core/rollout_guard.h"
+#include "core/versions/rollout_guard.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/rollout_judge_test.cpp
+++ b/core/versions/testing/rollout_judge_test.cpp
@@ -1,7 +1,7 @@
 // Early rollback of faulty versions, and timely completion of healthy ones.
 
 #define BOOST_TEST_MODULE rollout_judge
-#include "core/rollout_judge.h"
+#include "core/versions/rollout_judge.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/rollout_test.cpp
+++ b/core/versions/testing/rollout_test.cpp
@@ -2,9 +2,9 @@
 // changes of leader.
 
 #define BOOST_TEST_MODULE rollout
-#include "core/config_state.h"
-#include "core/rollout_change.h"
-#include "core/rollout_schedule.h"
+#include "core/config/config_state.h"
+#include "core/config/rollout_change.h"
+#include "core/versions/rollout_schedule.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/core/testing/version_choice_benchmark.cpp
+++ b/core/versions/testing/version_choice_benchmark.cpp
@@ -1,8 +1,8 @@
 // Cost of one version choice with 25 versions and a short list of exceptions.
 
-#include "core/exposure.h"
-#include "core/quality_table.h"
-#include "core/version_choice.h"
+#include "core/quality/quality_table.h"
+#include "core/versions/exposure.h"
+#include "core/versions/version_choice.h"
 
 #include <benchmark/benchmark.h>
 #include <string>
--- a/core/testing/version_choice_test.cpp
+++ b/core/versions/testing/version_choice_test.cpp
@@ -1,8 +1,8 @@
 // Unit tests of version choice: permissions, pins, exceptions, roll-outs, quality and escalation.
 
 #define BOOST_TEST_MODULE version_choice
-#include "core/exposure.h"
-#include "core/version_choice.h"
+#include "core/versions/exposure.h"
+#include "core/versions/version_choice.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/core/testing/version_gate_test.cpp
+++ b/core/versions/testing/version_gate_test.cpp
@@ -1,7 +1,7 @@
 // Unit tests of version admission during the stages of a roll-out.
 
 #define BOOST_TEST_MODULE version_gate
-#include "core/version_gate.h"
+#include "core/versions/version_gate.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/core/version_choice.cpp
+++ b/core/versions/version_choice.cpp
@@ -1,7 +1,7 @@
 // Listing phase of version choice and helper functions. The planning phase is in
 // core/version_choice_plan.cpp.
 
-#include "core/version_choice.h"
+#include "core/versions/version_choice.h"
 
 #include <boost/uuid/name_generator_sha1.hpp>
 #include <fmt/format.h>
--- a/core/version_choice.h
+++ b/core/versions/version_choice.h
@@ -21,10 +21,10 @@
 #ifndef FIREFLYROUTE_CORE_VERSION_CHOICE_H
 #define FIREFLYROUTE_CORE_VERSION_CHOICE_H
 
-#include "core/errors.h"
-#include "core/fleet_config.h"
-#include "core/quality_estimate.h"
-#include "core/types.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
+#include "core/config/fleet_config.h"
+#include "core/quality/quality_estimate.h"
 
 #include <algorithm>
 #include <concepts>
--- a/core/version_choice_plan.cpp
+++ b/core/versions/version_choice_plan.cpp
@@ -1,7 +1,7 @@
 // Planning phase of version choice: one selection per model, the first version to dispatch, and the
 // escalation steps after it.
 
-#include "core/version_choice.h"
+#include "core/versions/version_choice.h"
 
 #include <fmt/format.h>
 #include <map>
--- a/core/version_gate.cpp
+++ b/core/versions/version_gate.cpp
@@ -1,6 +1,6 @@
 // Canary sampling and version admission.
 
-#include "core/version_gate.h"
+#include "core/versions/version_gate.h"
 
 #include <algorithm>
 
--- a/core/version_gate.h
+++ b/core/versions/version_gate.h
@@ -12,8 +12,8 @@
 #ifndef FIREFLYROUTE_CORE_VERSION_GATE_H
 #define FIREFLYROUTE_CORE_VERSION_GATE_H
 
-#include "core/endpoint_registry.h"
-#include "core/site_state.h"
+#include "core/endpoints/endpoint_registry.h"
+#include "core/site/site_state.h"
 
 #include <map>
 #include <optional>
--- a/net/chat_json.h
+++ b/net/chat_json.h
@@ -4,8 +4,8 @@
 #ifndef FIREFLYROUTE_NET_CHAT_JSON_H
 #define FIREFLYROUTE_NET_CHAT_JSON_H
 
-#include "core/caller_request.h"
-#include "core/request_messages.h"
+#include "core/calls/caller_request.h"
+#include "core/requests/request_messages.h"
 #include "net/errors.h"
 
 #include <cstdint>
--- a/net/claim_json.h
+++ b/net/claim_json.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_NET_CLAIM_JSON_H
 #define FIREFLYROUTE_NET_CLAIM_JSON_H
 
-#include "core/claim_command.h"
+#include "core/ledger/claim_command.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/config_json.h
+++ b/net/config_json.h
@@ -4,7 +4,7 @@
 #ifndef FIREFLYROUTE_NET_CONFIG_JSON_H
 #define FIREFLYROUTE_NET_CONFIG_JSON_H
 
-#include "core/fleet_config.h"
+#include "core/config/fleet_config.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/control_json.h
+++ b/net/control_json.h
@@ -4,9 +4,9 @@
 #ifndef FIREFLYROUTE_NET_CONTROL_JSON_H
 #define FIREFLYROUTE_NET_CONTROL_JSON_H
 
-#include "core/config_state.h"
-#include "core/control_messages.h"
-#include "core/ledger.h"
+#include "core/config/config_state.h"
+#include "core/config/control_messages.h"
+#include "core/ledger/ledger.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/endpoint_json.h
+++ b/net/endpoint_json.h
@@ -4,7 +4,7 @@
 #ifndef FIREFLYROUTE_NET_ENDPOINT_JSON_H
 #define FIREFLYROUTE_NET_ENDPOINT_JSON_H
 
-#include "core/endpoint.h"
+#include "core/endpoints/endpoint.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/event_json.h
+++ b/net/event_json.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_NET_EVENT_JSON_H
 #define FIREFLYROUTE_NET_EVENT_JSON_H
 
-#include "core/event_log.h"
+#include "core/timeline/event_log.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/json_fields.h
+++ b/net/json_fields.h
@@ -11,8 +11,8 @@
 #ifndef FIREFLYROUTE_NET_JSON_FIELDS_H
 #define FIREFLYROUTE_NET_JSON_FIELDS_H
 
-#include "core/clock.h"
-#include "core/enum_names.h"
+#include "core/common/clock.h"
+#include "core/common/enum_names.h"
 #include "net/errors.h"
 
 #include <chrono>
--- a/net/ledger_json.h
+++ b/net/ledger_json.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_NET_LEDGER_JSON_H
 #define FIREFLYROUTE_NET_LEDGER_JSON_H
 
-#include "core/ledger_types.h"
+#include "core/ledger/ledger_types.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/problem_json.h
+++ b/net/problem_json.h
@@ -4,8 +4,8 @@
 #ifndef FIREFLYROUTE_NET_PROBLEM_JSON_H
 #define FIREFLYROUTE_NET_PROBLEM_JSON_H
 
-#include "core/errors.h"
-#include "core/types.h"
+#include "core/common/errors.h"
+#include "core/common/types.h"
 #include "net/errors.h"
 #include "net/http_types.h"
 
--- a/net/replication_json.h
+++ b/net/replication_json.h
@@ -9,7 +9,7 @@
 #ifndef FIREFLYROUTE_NET_REPLICATION_JSON_H
 #define FIREFLYROUTE_NET_REPLICATION_JSON_H
 
-#include "core/replication_types.h"
+#include "core/group/replication_types.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/net/request_reader.h
+++ b/net/request_reader.h
@@ -14,7 +14,7 @@
 #ifndef FIREFLYROUTE_NET_REQUEST_READER_H
 #define FIREFLYROUTE_NET_REQUEST_READER_H
 
-#include "core/enum_names.h"
+#include "core/common/enum_names.h"
 #include "net/http_message.h"
 
 #include <array>
--- a/net/server_session.h
+++ b/net/server_session.h
@@ -20,7 +20,7 @@
 #ifndef FIREFLYROUTE_NET_SERVER_SESSION_H
 #define FIREFLYROUTE_NET_SERVER_SESSION_H
 
-#include "core/byte_budget.h"
+#include "core/admission/byte_budget.h"
 #include "net/http_message.h"
 #include "net/request_reader.h"
 #include "net/session_group.h"
--- a/net/session_group.h
+++ b/net/session_group.h
@@ -12,8 +12,8 @@
 #ifndef FIREFLYROUTE_NET_SESSION_GROUP_H
 #define FIREFLYROUTE_NET_SESSION_GROUP_H
 
-#include "core/byte_budget.h"
-#include "core/enum_names.h"
+#include "core/admission/byte_budget.h"
+#include "core/common/enum_names.h"
 #include "net/errors.h"
 #include "net/http_message.h"
 #include "net/request_reader.h"
--- a/net/site_codec.h
+++ b/net/site_codec.h
@@ -7,7 +7,7 @@
 #ifndef FIREFLYROUTE_NET_SITE_CODEC_H
 #define FIREFLYROUTE_NET_SITE_CODEC_H
 
-#include "core/site_messages.h"
+#include "core/site/site_messages.h"
 #include "net/errors.h"
 
 #include <string>
--- a/net/snapshot_json.h
+++ b/net/snapshot_json.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_NET_SNAPSHOT_JSON_H
 #define FIREFLYROUTE_NET_SNAPSHOT_JSON_H
 
-#include "core/control_state.h"
+#include "core/config/control_state.h"
 #include "net/errors.h"
 
 #include <string>
--- a/net/tunnel.h
+++ b/net/tunnel.h
@@ -15,7 +15,7 @@
 #ifndef FIREFLYROUTE_NET_TUNNEL_H
 #define FIREFLYROUTE_NET_TUNNEL_H
 
-#include "core/enum_names.h"
+#include "core/common/enum_names.h"
 #include "net/errors.h"
 
 #include <array>
--- a/net/usage_json.h
+++ b/net/usage_json.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_NET_USAGE_JSON_H
 #define FIREFLYROUTE_NET_USAGE_JSON_H
 
-#include "core/usage_exchange.h"
+#include "core/admission/usage_exchange.h"
 #include "net/errors.h"
 
 #include <json/value.h>
--- a/store/errors.h
+++ b/store/errors.h
@@ -3,8 +3,8 @@
 #ifndef FIREFLYROUTE_STORE_ERRORS_H
 #define FIREFLYROUTE_STORE_ERRORS_H
 
-#include "core/enum_names.h"
-#include "core/errors.h"
+#include "core/common/enum_names.h"
+#include "core/common/errors.h"
 
 #include <array>
 #include <string>
--- a/store/folder_names.h
+++ b/store/folder_names.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_STORE_FOLDER_NAMES_H
 #define FIREFLYROUTE_STORE_FOLDER_NAMES_H
 
-#include "core/replication_types.h"
+#include "core/group/replication_types.h"
 #include "store/errors.h"
 
 #include <optional>
--- a/store/group_replay.h
+++ b/store/group_replay.h
@@ -7,7 +7,7 @@
 #ifndef FIREFLYROUTE_STORE_GROUP_REPLAY_H
 #define FIREFLYROUTE_STORE_GROUP_REPLAY_H
 
-#include "core/replica_config.h"
+#include "core/group/replica_config.h"
 #include "store/replica_codec.h"
 
 namespace fireflyroute::store {
--- a/store/replica_codec.h
+++ b/store/replica_codec.h
@@ -3,7 +3,7 @@
 #ifndef FIREFLYROUTE_STORE_REPLICA_CODEC_H
 #define FIREFLYROUTE_STORE_REPLICA_CODEC_H
 
-#include "core/replication_types.h"
+#include "core/group/replication_types.h"
 #include "store/journal_format.h"
 
 #include <optional>
--- a/testing/stand_in.h
+++ b/testing/stand_in.h
@@ -7,7 +7,7 @@
 #ifndef FIREFLYROUTE_TESTING_STAND_IN_H
 #define FIREFLYROUTE_TESTING_STAND_IN_H
 
-#include "core/endpoint.h"
+#include "core/endpoints/endpoint.h"
 #include "net/http_listener.h"
 
 #include <condition_variable>
