--- a/core/admission/admission.h
+++ b/core/admission/admission.h
@@ -29,8 +29,8 @@
 // requests may exceed that by one sixth, so endpoints need a short queue ordered by
 // DispatchRequest::priority.
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_H
-#define FIREFLYROUTE_CORE_ADMISSION_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_H
 
 #include "core/admission/admission_accounts.h"
 #include "core/admission/admission_pool.h"
--- a/core/admission/admission_accounts.h
+++ b/core/admission/admission_accounts.h
@@ -9,8 +9,8 @@
 // Usage reported by other entries counts like local usage, so a limit applies to the whole fleet.
 // It can be exceeded by the requests that entries start between two reports.
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_ACCOUNTS_H
-#define FIREFLYROUTE_CORE_ADMISSION_ACCOUNTS_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_ACCOUNTS_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_ACCOUNTS_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/admission/admission_impl.h
+++ b/core/admission/admission_impl.h
@@ -1,7 +1,7 @@
 // Member functions of Admission. Included by core/admission.h only.
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_IMPL_H
-#define FIREFLYROUTE_CORE_ADMISSION_IMPL_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_IMPL_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_IMPL_H
 
 #include "core/admission/admission.h"
 
--- a/core/admission/admission_pool.h
+++ b/core/admission/admission_pool.h
@@ -1,8 +1,8 @@
 // Admission state of one pool of interchangeable endpoints: its slots, one queue per rank, and the
 // scheduler that orders the ranks. Used by Admission only, which owns deadlines and account limits.
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_POOL_H
-#define FIREFLYROUTE_CORE_ADMISSION_POOL_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_POOL_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_POOL_H
 
 #include "core/admission/admission_rate.h"
 #include "core/admission/admission_scheduler.h"
--- a/core/admission/admission_rate.h
+++ b/core/admission/admission_rate.h
@@ -8,8 +8,8 @@
 //   slots.recordCompletion(900, now - startedAt);
 //   slots.tokensPerSecond();      // of one slot; 0 before the first completion
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_RATE_H
-#define FIREFLYROUTE_CORE_ADMISSION_RATE_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_RATE_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_RATE_H
 
 #include "core/common/clock.h"
 
--- a/core/admission/admission_scheduler.h
+++ b/core/admission/admission_scheduler.h
@@ -5,8 +5,8 @@
 //   Admission<PriorityScheduler> strict(...);             // baseline: strict priority
 //   Admission<ArrivalScheduler> fifo(...);                // baseline: first come, first served
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_SCHEDULER_H
-#define FIREFLYROUTE_CORE_ADMISSION_SCHEDULER_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_SCHEDULER_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_SCHEDULER_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/admission/admission_types.h
+++ b/core/admission/admission_types.h
@@ -1,7 +1,7 @@
 // Inputs and actions of the admission state machine in core/admission.h.
 
-#ifndef FIREFLYROUTE_CORE_ADMISSION_TYPES_H
-#define FIREFLYROUTE_CORE_ADMISSION_TYPES_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_TYPES_H
+#define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_TYPES_H
 
 #include "core/admission/usage_exchange.h"
 #include "core/common/clock.h"
--- a/core/admission/byte_budget.h
+++ b/core/admission/byte_budget.h
@@ -14,8 +14,8 @@
 // arrive in full. Large bodies can't use a reserved part of the budget, which is left to ordinary
 // requests. A budget that is used up names a connection to close: see chooseToClose().
 
-#ifndef FIREFLYROUTE_CORE_BYTE_BUDGET_H
-#define FIREFLYROUTE_CORE_BYTE_BUDGET_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_BYTE_BUDGET_H
+#define FIREFLYROUTE_CORE_ADMISSION_BYTE_BUDGET_H
 
 #include "core/common/clock.h"
 #include "core/common/enum_names.h"
--- a/core/admission/fair_queue.h
+++ b/core/admission/fair_queue.h
@@ -14,8 +14,8 @@
 // accumulate unused service. Every operation costs O(log accounts), independent of the number of
 // queued requests.
 
-#ifndef FIREFLYROUTE_CORE_FAIR_QUEUE_H
-#define FIREFLYROUTE_CORE_FAIR_QUEUE_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_FAIR_QUEUE_H
+#define FIREFLYROUTE_CORE_ADMISSION_FAIR_QUEUE_H
 
 #include "core/common/types.h"
 
--- a/core/admission/request_admission.h
+++ b/core/admission/request_admission.h
@@ -7,8 +7,8 @@
 //
 // A request is asked about once. A refused request has not run and never will.
 
-#ifndef FIREFLYROUTE_CORE_REQUEST_ADMISSION_H
-#define FIREFLYROUTE_CORE_REQUEST_ADMISSION_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_REQUEST_ADMISSION_H
+#define FIREFLYROUTE_CORE_ADMISSION_REQUEST_ADMISSION_H
 
 #include "core/calls/request_form.h"
 #include "core/calls/site_calls.h"
--- a/core/admission/usage_exchange.h
+++ b/core/admission/usage_exchange.h
@@ -11,8 +11,8 @@
 // periodically of all keys. A lost report therefore delays a charge, but no charge is lost or
 // applied twice.
 
-#ifndef FIREFLYROUTE_CORE_USAGE_EXCHANGE_H
-#define FIREFLYROUTE_CORE_USAGE_EXCHANGE_H
+#ifndef FIREFLYROUTE_CORE_ADMISSION_USAGE_EXCHANGE_H
+#define FIREFLYROUTE_CORE_ADMISSION_USAGE_EXCHANGE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/balancing/endpoint_choice.h
+++ b/core/balancing/endpoint_choice.h
@@ -12,8 +12,8 @@
 // the prompt's prefix, so its cost does not depend on the size of the fleet. The caller records the
 // result with LoadEstimator::recordStart() and PrefixCache::observe().
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_CHOICE_H
-#define FIREFLYROUTE_CORE_ENDPOINT_CHOICE_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_ENDPOINT_CHOICE_H
+#define FIREFLYROUTE_CORE_BALANCING_ENDPOINT_CHOICE_H
 
 #include "core/balancing/endpoint_choice_index.h"
 #include "core/balancing/endpoint_choice_policy.h"
--- a/core/balancing/endpoint_choice_index.h
+++ b/core/balancing/endpoint_choice_index.h
@@ -4,8 +4,8 @@
 //   EndpointIndex index(view, localDataCentre, distanceByName);
 //   const EndpointGroup *group = index.find(target);      // null if no endpoint serves it
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_CHOICE_INDEX_H
-#define FIREFLYROUTE_CORE_ENDPOINT_CHOICE_INDEX_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_ENDPOINT_CHOICE_INDEX_H
+#define FIREFLYROUTE_CORE_BALANCING_ENDPOINT_CHOICE_INDEX_H
 
 #include "core/common/enum_names.h"
 #include "core/common/types.h"
--- a/core/balancing/endpoint_choice_policy.h
+++ b/core/balancing/endpoint_choice_policy.h
@@ -5,8 +5,8 @@
 //   EndpointChooser<RoundRobinPolicy> roundRobin(defaultConcurrency);
 //   EndpointChooser<LeastLoadedPolicy> leastLoaded(defaultConcurrency);
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_CHOICE_POLICY_H
-#define FIREFLYROUTE_CORE_ENDPOINT_CHOICE_POLICY_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_ENDPOINT_CHOICE_POLICY_H
+#define FIREFLYROUTE_CORE_BALANCING_ENDPOINT_CHOICE_POLICY_H
 
 #include "core/balancing/endpoint_choice_index.h"
 #include "core/common/types.h"
--- a/core/balancing/endpoint_monitor.h
+++ b/core/balancing/endpoint_monitor.h
@@ -11,8 +11,8 @@
 // After a failure an endpoint is in cooldown; the cooldown doubles with each consecutive failure.
 // After the cooldown the endpoint is probed with one request at a time.
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_MONITOR_H
-#define FIREFLYROUTE_CORE_ENDPOINT_MONITOR_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_ENDPOINT_MONITOR_H
+#define FIREFLYROUTE_CORE_BALANCING_ENDPOINT_MONITOR_H
 
 #include "core/calls/site_calls.h"
 #include "core/common/clock.h"
--- a/core/balancing/endpoint_pick.h
+++ b/core/balancing/endpoint_pick.h
@@ -8,8 +8,8 @@
 // endpoint has processed yet, a rendezvous hash selects the same endpoint on all entries of a
 // region.
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_PICK_H
-#define FIREFLYROUTE_CORE_ENDPOINT_PICK_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_ENDPOINT_PICK_H
+#define FIREFLYROUTE_CORE_BALANCING_ENDPOINT_PICK_H
 
 #include "core/balancing/endpoint_monitor.h"
 #include "core/calls/site_calls.h"
--- a/core/balancing/outstanding.h
+++ b/core/balancing/outstanding.h
@@ -7,8 +7,8 @@
 //   double load = loadEstimator.load(state);
 //   loadEstimator.recordFinish(endpoint, now);
 
-#ifndef FIREFLYROUTE_CORE_OUTSTANDING_H
-#define FIREFLYROUTE_CORE_OUTSTANDING_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_OUTSTANDING_H
+#define FIREFLYROUTE_CORE_BALANCING_OUTSTANDING_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/balancing/testing/fleet_load_model.h
+++ b/core/balancing/testing/fleet_load_model.h
@@ -7,8 +7,8 @@
 // Pattern: many entries with few requests each, so that what an entry knows is mostly the report of
 // others, which is older than the time between two requests of the fleet.
 
-#ifndef FIREFLYROUTE_CORE_TESTING_FLEET_LOAD_MODEL_H
-#define FIREFLYROUTE_CORE_TESTING_FLEET_LOAD_MODEL_H
+#ifndef FIREFLYROUTE_CORE_BALANCING_TESTING_FLEET_LOAD_MODEL_H
+#define FIREFLYROUTE_CORE_BALANCING_TESTING_FLEET_LOAD_MODEL_H
 
 #include "core/balancing/endpoint_pick.h"
 #include "core/common/stable_hash.h"
--- a/core/calls/caller_request.h
+++ b/core/calls/caller_request.h
@@ -1,8 +1,8 @@
 // Decoded and authenticated request of a caller, reduced to the fields that routing decisions use.
 // The body stays with the front end.
 
-#ifndef FIREFLYROUTE_CORE_CALLER_REQUEST_H
-#define FIREFLYROUTE_CORE_CALLER_REQUEST_H
+#ifndef FIREFLYROUTE_CORE_CALLS_CALLER_REQUEST_H
+#define FIREFLYROUTE_CORE_CALLS_CALLER_REQUEST_H
 
 #include "core/common/types.h"
 
--- a/core/calls/request_form.h
+++ b/core/calls/request_form.h
@@ -3,8 +3,8 @@
 //
 //   const RequestForm form = requestForm(route);
 
-#ifndef FIREFLYROUTE_CORE_REQUEST_FORM_H
-#define FIREFLYROUTE_CORE_REQUEST_FORM_H
+#ifndef FIREFLYROUTE_CORE_CALLS_REQUEST_FORM_H
+#define FIREFLYROUTE_CORE_CALLS_REQUEST_FORM_H
 
 #include "core/common/enum_names.h"
 #include "core/config/site_config.h"
--- a/core/calls/site_calls.h
+++ b/core/calls/site_calls.h
@@ -2,8 +2,8 @@
 // metadata in the responses of endpoints, and calls of operators and endpoints to the control VMs.
 // A front end (platform/) converts them to and from its encoding.
 
-#ifndef FIREFLYROUTE_CORE_SITE_CALLS_H
-#define FIREFLYROUTE_CORE_SITE_CALLS_H
+#ifndef FIREFLYROUTE_CORE_CALLS_SITE_CALLS_H
+#define FIREFLYROUTE_CORE_CALLS_SITE_CALLS_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/calls/site_view.h
+++ b/core/calls/site_view.h
@@ -1,8 +1,8 @@
 // The site as seen by an entry's traffic thread: an immutable view that the control thread replaces
 // after each change.
 
-#ifndef FIREFLYROUTE_CORE_SITE_VIEW_H
-#define FIREFLYROUTE_CORE_SITE_VIEW_H
+#ifndef FIREFLYROUTE_CORE_CALLS_SITE_VIEW_H
+#define FIREFLYROUTE_CORE_CALLS_SITE_VIEW_H
 
 #include "core/config/site_config.h"
 #include "core/endpoints/endpoint_registry.h"
--- a/core/cold/cold_allowance.h
+++ b/core/cold/cold_allowance.h
@@ -10,8 +10,8 @@
 // A part may move to another entry when its grant expires. As the new holder waits for one interval
 // before its first request, two holders of a part never both use it within a second.
 
-#ifndef FIREFLYROUTE_CORE_COLD_ALLOWANCE_H
-#define FIREFLYROUTE_CORE_COLD_ALLOWANCE_H
+#ifndef FIREFLYROUTE_CORE_COLD_COLD_ALLOWANCE_H
+#define FIREFLYROUTE_CORE_COLD_COLD_ALLOWANCE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/cold/cold_endpoints.h
+++ b/core/cold/cold_endpoints.h
@@ -7,8 +7,8 @@
 //   endpoints.recordConnectionRefusal(id, now);
 //   if (endpoints.isCold(record.id, service.coldStart, now)) ...
 
-#ifndef FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
-#define FIREFLYROUTE_CORE_COLD_ENDPOINTS_H
+#ifndef FIREFLYROUTE_CORE_COLD_COLD_ENDPOINTS_H
+#define FIREFLYROUTE_CORE_COLD_COLD_ENDPOINTS_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/cold/cold_grants.h
+++ b/core/cold/cold_grants.h
@@ -12,8 +12,8 @@
 // the probe, the leader from the time it received it, so the entry stops first, whatever the delay
 // of messages. A new leader grants nothing until the grants of its predecessors have expired.
 
-#ifndef FIREFLYROUTE_CORE_COLD_GRANTS_H
-#define FIREFLYROUTE_CORE_COLD_GRANTS_H
+#ifndef FIREFLYROUTE_CORE_COLD_COLD_GRANTS_H
+#define FIREFLYROUTE_CORE_COLD_COLD_GRANTS_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/common/clock.h
+++ b/core/common/clock.h
@@ -3,8 +3,8 @@
 //
 //   std::vector<ReplicaAction> actions = replica.step(Tick{}, clock.now());
 
-#ifndef FIREFLYROUTE_CORE_CLOCK_H
-#define FIREFLYROUTE_CORE_CLOCK_H
+#ifndef FIREFLYROUTE_CORE_COMMON_CLOCK_H
+#define FIREFLYROUTE_CORE_COMMON_CLOCK_H
 
 #include <chrono>
 #include <concepts>
--- a/core/common/enum_names.h
+++ b/core/common/enum_names.h
@@ -5,8 +5,8 @@
 //   parseEnum<Rank>("urgent")   == Rank::Urgent
 //   parseEnum<Rank>("fastest")  == std::nullopt
 
-#ifndef FIREFLYROUTE_CORE_ENUM_NAMES_H
-#define FIREFLYROUTE_CORE_ENUM_NAMES_H
+#ifndef FIREFLYROUTE_CORE_COMMON_ENUM_NAMES_H
+#define FIREFLYROUTE_CORE_COMMON_ENUM_NAMES_H
 
 #include <optional>
 #include <string>
--- a/core/common/errors.h
+++ b/core/common/errors.h
@@ -5,8 +5,8 @@
 //   if (!changed)
 //       return changed.as_failure();
 
-#ifndef FIREFLYROUTE_CORE_ERRORS_H
-#define FIREFLYROUTE_CORE_ERRORS_H
+#ifndef FIREFLYROUTE_CORE_COMMON_ERRORS_H
+#define FIREFLYROUTE_CORE_COMMON_ERRORS_H
 
 #include "core/common/enum_names.h"
 
--- a/core/common/stable_hash.h
+++ b/core/common/stable_hash.h
@@ -2,8 +2,8 @@
 //
 //   mixBits(hashText(entry) ^ hashText(relay))
 
-#ifndef FIREFLYROUTE_CORE_STABLE_HASH_H
-#define FIREFLYROUTE_CORE_STABLE_HASH_H
+#ifndef FIREFLYROUTE_CORE_COMMON_STABLE_HASH_H
+#define FIREFLYROUTE_CORE_COMMON_STABLE_HASH_H
 
 #include <cstdint>
 #include <string_view>
--- a/core/common/types.h
+++ b/core/common/types.h
@@ -8,8 +8,8 @@
 // Identifiers are distinct types, so that an account cannot be passed where an endpoint is
 // expected.
 
-#ifndef FIREFLYROUTE_CORE_TYPES_H
-#define FIREFLYROUTE_CORE_TYPES_H
+#ifndef FIREFLYROUTE_CORE_COMMON_TYPES_H
+#define FIREFLYROUTE_CORE_COMMON_TYPES_H
 
 #include "core/common/enum_names.h"
 
--- a/core/config/config_change.h
+++ b/core/config/config_change.h
@@ -1,8 +1,8 @@
 // Applies single configuration changes: computes the configuration that results from a ConfigChange
 // and rejects changes that are not allowed.
 
-#ifndef FIREFLYROUTE_CORE_CONFIG_CHANGE_H
-#define FIREFLYROUTE_CORE_CONFIG_CHANGE_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_CONFIG_CHANGE_H
+#define FIREFLYROUTE_CORE_CONFIG_CONFIG_CHANGE_H
 
 #include "core/config/control_command.h"
 
--- a/core/config/config_state.h
+++ b/core/config/config_state.h
@@ -7,8 +7,8 @@
 // Deterministic: all control VMs apply the same commands in the same order and reach the same
 // state. Wall-clock times are taken from the command, never from a clock.
 
-#ifndef FIREFLYROUTE_CORE_CONFIG_STATE_H
-#define FIREFLYROUTE_CORE_CONFIG_STATE_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_CONFIG_STATE_H
+#define FIREFLYROUTE_CORE_CONFIG_CONFIG_STATE_H
 
 #include "core/config/control_command.h"
 
--- a/core/config/control_command.h
+++ b/core/config/control_command.h
@@ -5,8 +5,8 @@
 // ConfigCommand that is resent with the same id gets its recorded reply, and ledger operations and
 // claim commands are idempotent by their contents.
 
-#ifndef FIREFLYROUTE_CORE_CONTROL_COMMAND_H
-#define FIREFLYROUTE_CORE_CONTROL_COMMAND_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_CONTROL_COMMAND_H
+#define FIREFLYROUTE_CORE_CONFIG_CONTROL_COMMAND_H
 
 #include "core/common/clock.h"
 #include "core/common/errors.h"
--- a/core/config/control_messages.h
+++ b/core/config/control_messages.h
@@ -1,8 +1,8 @@
 // Messages between entries and control VMs. Each request and reply contains the id of its
 // replication group.
 
-#ifndef FIREFLYROUTE_CORE_CONTROL_MESSAGES_H
-#define FIREFLYROUTE_CORE_CONTROL_MESSAGES_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_CONTROL_MESSAGES_H
+#define FIREFLYROUTE_CORE_CONFIG_CONTROL_MESSAGES_H
 
 #include "core/common/clock.h"
 #include "core/config/control_command.h"
--- a/core/config/control_state.h
+++ b/core/config/control_state.h
@@ -2,8 +2,8 @@
 //
 //   ControlReply reply = state.apply(command);
 
-#ifndef FIREFLYROUTE_CORE_CONTROL_STATE_H
-#define FIREFLYROUTE_CORE_CONTROL_STATE_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_CONTROL_STATE_H
+#define FIREFLYROUTE_CORE_CONFIG_CONTROL_STATE_H
 
 #include "core/config/config_state.h"
 #include "core/ledger/ledger.h"
--- a/core/config/fleet_config.h
+++ b/core/config/fleet_config.h
@@ -7,8 +7,8 @@
 // configuration to the next (revisions, withdrawn versions) are enforced by ConfigState in
 // core/config_state.h.
 
-#ifndef FIREFLYROUTE_CORE_FLEET_CONFIG_H
-#define FIREFLYROUTE_CORE_FLEET_CONFIG_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_FLEET_CONFIG_H
+#define FIREFLYROUTE_CORE_CONFIG_FLEET_CONFIG_H
 
 #include "core/common/clock.h"
 #include "core/common/errors.h"
--- a/core/config/rollout_change.h
+++ b/core/config/rollout_change.h
@@ -4,8 +4,8 @@
 //   running --advance--> running (next stage) --advance at 1000 permille, or finish--> done
 //   running --hold--> held --resume--> running       running or held --cancel--> done
 
-#ifndef FIREFLYROUTE_CORE_ROLLOUT_CHANGE_H
-#define FIREFLYROUTE_CORE_ROLLOUT_CHANGE_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_ROLLOUT_CHANGE_H
+#define FIREFLYROUTE_CORE_CONFIG_ROLLOUT_CHANGE_H
 
 #include "core/config/control_command.h"
 
--- a/core/config/site_config.h
+++ b/core/config/site_config.h
@@ -6,8 +6,8 @@
 //   const Route *route = table.match("desk.example", "/refunds/17");
 //   const Account *account = table.accountOf(key);
 
-#ifndef FIREFLYROUTE_CORE_SITE_CONFIG_H
-#define FIREFLYROUTE_CORE_SITE_CONFIG_H
+#ifndef FIREFLYROUTE_CORE_CONFIG_SITE_CONFIG_H
+#define FIREFLYROUTE_CORE_CONFIG_SITE_CONFIG_H
 
 #include "core/common/clock.h"
 #include "core/common/errors.h"
--- a/core/endpoints/directory.h
+++ b/core/endpoints/directory.h
@@ -10,8 +10,8 @@
 // together with the age that it had there. Processes exchange ages and never points in time,
 // because their clocks are not synchronised.
 
-#ifndef FIREFLYROUTE_CORE_DIRECTORY_H
-#define FIREFLYROUTE_CORE_DIRECTORY_H
+#ifndef FIREFLYROUTE_CORE_ENDPOINTS_DIRECTORY_H
+#define FIREFLYROUTE_CORE_ENDPOINTS_DIRECTORY_H
 
 #include "core/endpoints/endpoint.h"
 
--- a/core/endpoints/endpoint.h
+++ b/core/endpoints/endpoint.h
@@ -1,8 +1,8 @@
 // Endpoint announcements, and the state that an entry records for each endpoint. The directory that
 // collects them is in core/directory.h.
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_H
-#define FIREFLYROUTE_CORE_ENDPOINT_H
+#ifndef FIREFLYROUTE_CORE_ENDPOINTS_ENDPOINT_H
+#define FIREFLYROUTE_CORE_ENDPOINTS_ENDPOINT_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/endpoints/endpoint_registry.h
+++ b/core/endpoints/endpoint_registry.h
@@ -12,8 +12,8 @@
 // report, never by arrival. If two ids share an address, the one that started later keeps it and
 // the other one is removed.
 
-#ifndef FIREFLYROUTE_CORE_ENDPOINT_REGISTRY_H
-#define FIREFLYROUTE_CORE_ENDPOINT_REGISTRY_H
+#ifndef FIREFLYROUTE_CORE_ENDPOINTS_ENDPOINT_REGISTRY_H
+#define FIREFLYROUTE_CORE_ENDPOINTS_ENDPOINT_REGISTRY_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/group/replica.h
+++ b/core/group/replica.h
@@ -27,8 +27,8 @@
 // larger Incarnation, and its earlier incarnation is removed in the process. A voter that is
 // permanently lost is replaced by a spare learner.
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_H
-#define FIREFLYROUTE_CORE_REPLICA_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_H
 
 #include "core/common/clock.h"
 #include "core/group/replica_actions.h"
--- a/core/group/replica_actions.h
+++ b/core/group/replica_actions.h
@@ -1,8 +1,8 @@
 // Inputs that the control thread passes to a Replica (core/replica.h), and actions that the Replica
 // requests from the control thread.
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_ACTIONS_H
-#define FIREFLYROUTE_CORE_REPLICA_ACTIONS_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_ACTIONS_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_ACTIONS_H
 
 #include "core/group/replica_membership.h"
 #include "core/group/replication_types.h"
--- a/core/group/replica_config.h
+++ b/core/group/replica_config.h
@@ -1,7 +1,7 @@
 // Settings of a replica and the state that it recovers from disk.
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_CONFIG_H
-#define FIREFLYROUTE_CORE_REPLICA_CONFIG_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_CONFIG_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_CONFIG_H
 
 #include "core/common/clock.h"
 #include "core/group/replication_types.h"
--- a/core/group/replica_election.h
+++ b/core/group/replica_election.h
@@ -4,8 +4,8 @@
 //   tally.grant(id);
 //   if (tally.isWon(membership)) ...
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_ELECTION_H
-#define FIREFLYROUTE_CORE_REPLICA_ELECTION_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_ELECTION_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_ELECTION_H
 
 #include "core/group/replica_membership.h"
 
--- a/core/group/replica_log.h
+++ b/core/group/replica_log.h
@@ -6,8 +6,8 @@
 //   log.truncateFrom(7);               // removes entry 7 and all entries after it
 //   log.compactTo(5);                  // entries up to 5 are in a snapshot now
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_LOG_H
-#define FIREFLYROUTE_CORE_REPLICA_LOG_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_LOG_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_LOG_H
 
 #include "core/group/replication_types.h"
 
--- a/core/group/replica_membership.h
+++ b/core/group/replica_membership.h
@@ -6,8 +6,8 @@
 // Consecutive memberships differ in at most one voter, so any majority of one overlaps with any
 // majority of the other.
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_MEMBERSHIP_H
-#define FIREFLYROUTE_CORE_REPLICA_MEMBERSHIP_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_MEMBERSHIP_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_MEMBERSHIP_H
 
 #include "core/common/errors.h"
 #include "core/group/replication_types.h"
--- a/core/group/replica_progress.h
+++ b/core/group/replica_progress.h
@@ -5,8 +5,8 @@
 //   peers.updateMembers(log.membership(), self, log.lastIndex() + 1, now);
 //   LogIndex safe = peers.quorumMatch(log.membership(), self, localSyncedIndex, minCopies);
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_PROGRESS_H
-#define FIREFLYROUTE_CORE_REPLICA_PROGRESS_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_PROGRESS_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_PROGRESS_H
 
 #include "core/common/clock.h"
 #include "core/group/replication_types.h"
--- a/core/group/replica_writes.h
+++ b/core/group/replica_writes.h
@@ -5,8 +5,8 @@
 //   writes.complete(token);                        // this and all earlier writes are on disk
 //   LogIndex durable = writes.durableIndex(log.lastIndex());
 
-#ifndef FIREFLYROUTE_CORE_REPLICA_WRITES_H
-#define FIREFLYROUTE_CORE_REPLICA_WRITES_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_WRITES_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICA_WRITES_H
 
 #include "core/group/replica_actions.h"
 
--- a/core/group/replication_types.h
+++ b/core/group/replication_types.h
@@ -5,8 +5,8 @@
 //   Membership membership{{Member{self, MemberRole::Voter}}};
 //   LogEntry entry{.index = 1, .term = 1, .kind = EntryKind::Command, .payload = bytes};
 
-#ifndef FIREFLYROUTE_CORE_REPLICATION_TYPES_H
-#define FIREFLYROUTE_CORE_REPLICATION_TYPES_H
+#ifndef FIREFLYROUTE_CORE_GROUP_REPLICATION_TYPES_H
+#define FIREFLYROUTE_CORE_GROUP_REPLICATION_TYPES_H
 
 #include "core/common/types.h"
 
--- a/core/group/testing/replica_harness.h
+++ b/core/group/testing/replica_harness.h
@@ -8,8 +8,8 @@
 //
 // A test may instead trigger ticks, deliveries, syncs and crashes individually in any order.
 
-#ifndef FIREFLYROUTE_CORE_TESTING_REPLICA_HARNESS_H
-#define FIREFLYROUTE_CORE_TESTING_REPLICA_HARNESS_H
+#ifndef FIREFLYROUTE_CORE_GROUP_TESTING_REPLICA_HARNESS_H
+#define FIREFLYROUTE_CORE_GROUP_TESTING_REPLICA_HARNESS_H
 
 #include "core/group/replica.h"
 
--- a/core/leases/config_currency.h
+++ b/core/leases/config_currency.h
@@ -8,8 +8,8 @@
 //   freshness.revisionApplied(revision);      // completes confirmations that waited for it
 //   if (now < freshness.validUntil()) ...
 
-#ifndef FIREFLYROUTE_CORE_CONFIG_CURRENCY_H
-#define FIREFLYROUTE_CORE_CONFIG_CURRENCY_H
+#ifndef FIREFLYROUTE_CORE_LEASES_CONFIG_CURRENCY_H
+#define FIREFLYROUTE_CORE_LEASES_CONFIG_CURRENCY_H
 
 #include "core/common/clock.h"
 
--- a/core/leases/config_lease.h
+++ b/core/leases/config_lease.h
@@ -15,8 +15,8 @@
 // expired by either clock: a clock that jumps ahead ends the lease early, and a clock that stands
 // still or goes back does not extend it as long as the other clock advances.
 
-#ifndef FIREFLYROUTE_CORE_CONFIG_LEASE_H
-#define FIREFLYROUTE_CORE_CONFIG_LEASE_H
+#ifndef FIREFLYROUTE_CORE_LEASES_CONFIG_LEASE_H
+#define FIREFLYROUTE_CORE_LEASES_CONFIG_LEASE_H
 
 #include "core/common/clock.h"
 
--- a/core/leases/entry_registry.h
+++ b/core/leases/entry_registry.h
@@ -9,8 +9,8 @@
 // The registry is not replicated: a new leader starts with an empty one and rebuilds it from
 // heartbeats.
 
-#ifndef FIREFLYROUTE_CORE_ENTRY_REGISTRY_H
-#define FIREFLYROUTE_CORE_ENTRY_REGISTRY_H
+#ifndef FIREFLYROUTE_CORE_LEASES_ENTRY_REGISTRY_H
+#define FIREFLYROUTE_CORE_LEASES_ENTRY_REGISTRY_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/leases/in_force.h
+++ b/core/leases/in_force.h
@@ -16,8 +16,8 @@
 // how far the monotonic and wall clocks have advanced. Time that passed only on the monotonic clock
 // is not counted, up to one lease.
 
-#ifndef FIREFLYROUTE_CORE_IN_FORCE_H
-#define FIREFLYROUTE_CORE_IN_FORCE_H
+#ifndef FIREFLYROUTE_CORE_LEASES_IN_FORCE_H
+#define FIREFLYROUTE_CORE_LEASES_IN_FORCE_H
 
 #include "core/leases/config_lease.h"
 #include "core/leases/entry_registry.h"
--- a/core/leases/lease_grant.h
+++ b/core/leases/lease_grant.h
@@ -10,8 +10,8 @@
 // request also contains the revision that the entry holds, so one message both renews the lease and
 // confirms the revision.
 
-#ifndef FIREFLYROUTE_CORE_LEASE_GRANT_H
-#define FIREFLYROUTE_CORE_LEASE_GRANT_H
+#ifndef FIREFLYROUTE_CORE_LEASES_LEASE_GRANT_H
+#define FIREFLYROUTE_CORE_LEASES_LEASE_GRANT_H
 
 #include "core/common/errors.h"
 #include "core/leases/in_force.h"
--- a/core/leases/lease_holder.h
+++ b/core/leases/lease_holder.h
@@ -13,8 +13,8 @@
 // time between this check and the write remains unprotected: a thread that is suspended there sends
 // late, and only an endpoint that checks the fencing number of the dispatch rejects it.
 
-#ifndef FIREFLYROUTE_CORE_LEASE_HOLDER_H
-#define FIREFLYROUTE_CORE_LEASE_HOLDER_H
+#ifndef FIREFLYROUTE_CORE_LEASES_LEASE_HOLDER_H
+#define FIREFLYROUTE_CORE_LEASES_LEASE_HOLDER_H
 
 #include "core/leases/lease_grant.h"
 
--- a/core/leases/testing/lease_fixture.h
+++ b/core/leases/testing/lease_fixture.h
@@ -2,8 +2,8 @@
 // test. It checks the invariant of configuration leases: no entry may dispatch under a revision
 // older than one that was reported in force.
 
-#ifndef FIREFLYROUTE_CORE_TESTING_LEASE_FIXTURE_H
-#define FIREFLYROUTE_CORE_TESTING_LEASE_FIXTURE_H
+#ifndef FIREFLYROUTE_CORE_LEASES_TESTING_LEASE_FIXTURE_H
+#define FIREFLYROUTE_CORE_LEASES_TESTING_LEASE_FIXTURE_H
 
 #include "core/leases/lease_holder.h"
 
--- a/core/ledger/claim_command.h
+++ b/core/ledger/claim_command.h
@@ -3,8 +3,8 @@
 // claimant to Unknown, and the leader drops old finished claims. All of them go through the
 // replicated log and are idempotent: applying the same command again changes nothing.
 
-#ifndef FIREFLYROUTE_CORE_CLAIM_COMMAND_H
-#define FIREFLYROUTE_CORE_CLAIM_COMMAND_H
+#ifndef FIREFLYROUTE_CORE_LEDGER_CLAIM_COMMAND_H
+#define FIREFLYROUTE_CORE_LEDGER_CLAIM_COMMAND_H
 
 #include "core/common/clock.h"
 #include "core/common/errors.h"
--- a/core/ledger/claim_sweep.h
+++ b/core/ledger/claim_sweep.h
@@ -8,8 +8,8 @@
 // Call these functions only on a leader that has caught up with the log. Command ids are derived
 // from the command contents, and applying a command again changes nothing.
 
-#ifndef FIREFLYROUTE_CORE_CLAIM_SWEEP_H
-#define FIREFLYROUTE_CORE_CLAIM_SWEEP_H
+#ifndef FIREFLYROUTE_CORE_LEDGER_CLAIM_SWEEP_H
+#define FIREFLYROUTE_CORE_LEDGER_CLAIM_SWEEP_H
 
 #include "core/leases/config_lease.h"
 #include "core/leases/entry_registry.h"
--- a/core/ledger/ledger.h
+++ b/core/ledger/ledger.h
@@ -4,8 +4,8 @@
 //   Ledger ledger;
 //   LedgerOutcome outcome = ledger.apply(LedgerOperation{key, value, std::nullopt});
 
-#ifndef FIREFLYROUTE_CORE_LEDGER_H
-#define FIREFLYROUTE_CORE_LEDGER_H
+#ifndef FIREFLYROUTE_CORE_LEDGER_LEDGER_H
+#define FIREFLYROUTE_CORE_LEDGER_LEDGER_H
 
 #include "core/ledger/claim_command.h"
 #include "core/ledger/ledger_types.h"
--- a/core/ledger/ledger_claims.h
+++ b/core/ledger/ledger_claims.h
@@ -15,8 +15,8 @@
 // a claimant counts as lost (EntryRegistry::kFailureTimeout), so a claimant that was frozen cannot
 // execute a call that an operator has since resolved as not run.
 
-#ifndef FIREFLYROUTE_CORE_LEDGER_CLAIMS_H
-#define FIREFLYROUTE_CORE_LEDGER_CLAIMS_H
+#ifndef FIREFLYROUTE_CORE_LEDGER_LEDGER_CLAIMS_H
+#define FIREFLYROUTE_CORE_LEDGER_LEDGER_CLAIMS_H
 
 #include "core/leases/config_lease.h"
 #include "core/leases/entry_registry.h"
--- a/core/ledger/ledger_shard.h
+++ b/core/ledger/ledger_shard.h
@@ -1,7 +1,7 @@
 // Maps ledger records to replication groups and reads the creation time of a claim key.
 
-#ifndef FIREFLYROUTE_CORE_LEDGER_SHARD_H
-#define FIREFLYROUTE_CORE_LEDGER_SHARD_H
+#ifndef FIREFLYROUTE_CORE_LEDGER_LEDGER_SHARD_H
+#define FIREFLYROUTE_CORE_LEDGER_LEDGER_SHARD_H
 
 #include "core/common/clock.h"
 #include "core/ledger/ledger_types.h"
--- a/core/ledger/ledger_types.h
+++ b/core/ledger/ledger_types.h
@@ -6,8 +6,8 @@
 //   put {Bill, "request id"}      = amounts          -> Created, or Exists
 //   replace ... if the value equals `expected`       -> Replaced, or Conflict with the current one
 
-#ifndef FIREFLYROUTE_CORE_LEDGER_TYPES_H
-#define FIREFLYROUTE_CORE_LEDGER_TYPES_H
+#ifndef FIREFLYROUTE_CORE_LEDGER_LEDGER_TYPES_H
+#define FIREFLYROUTE_CORE_LEDGER_LEDGER_TYPES_H
 
 #include "core/common/clock.h"
 #include "core/common/enum_names.h"
--- a/core/load/load_plan.h
+++ b/core/load/load_plan.h
@@ -6,8 +6,8 @@
 //   for (const LoadRequest &request : planLoad(profile))
 //       startAt(request.at, profile.kinds[request.kind], request.session);
 
-#ifndef FIREFLYROUTE_CORE_LOAD_PLAN_H
-#define FIREFLYROUTE_CORE_LOAD_PLAN_H
+#ifndef FIREFLYROUTE_CORE_LOAD_LOAD_PLAN_H
+#define FIREFLYROUTE_CORE_LOAD_LOAD_PLAN_H
 
 #include "core/common/clock.h"
 #include "core/common/errors.h"
--- a/core/load/load_plot.h
+++ b/core/load/load_plot.h
@@ -2,8 +2,8 @@
 //
 //   file << latencyPlot({{Rank::Urgent, {{0.5, 0.21}, {0.95, 0.38}}}});
 
-#ifndef FIREFLYROUTE_CORE_LOAD_PLOT_H
-#define FIREFLYROUTE_CORE_LOAD_PLOT_H
+#ifndef FIREFLYROUTE_CORE_LOAD_LOAD_PLOT_H
+#define FIREFLYROUTE_CORE_LOAD_LOAD_PLOT_H
 
 #include "core/common/types.h"
 
--- a/core/paths/path_monitor.h
+++ b/core/paths/path_monitor.h
@@ -12,8 +12,8 @@
 //
 // A false positive costs one more hop, so the evidence of a second or so suffices.
 
-#ifndef FIREFLYROUTE_CORE_PATH_MONITOR_H
-#define FIREFLYROUTE_CORE_PATH_MONITOR_H
+#ifndef FIREFLYROUTE_CORE_PATHS_PATH_MONITOR_H
+#define FIREFLYROUTE_CORE_PATHS_PATH_MONITOR_H
 
 #include "core/common/clock.h"
 #include "core/common/enum_names.h"
--- a/core/paths/relay_choice.h
+++ b/core/paths/relay_choice.h
@@ -5,8 +5,8 @@
 //   if (const std::optional<VmId> relay = relays.next(now)) ...
 //   relays.recordFailure(*relay, now);
 
-#ifndef FIREFLYROUTE_CORE_RELAY_CHOICE_H
-#define FIREFLYROUTE_CORE_RELAY_CHOICE_H
+#ifndef FIREFLYROUTE_CORE_PATHS_RELAY_CHOICE_H
+#define FIREFLYROUTE_CORE_PATHS_RELAY_CHOICE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/paths/relay_directory.h
+++ b/core/paths/relay_directory.h
@@ -15,8 +15,8 @@
 // both entries orders them, so that many isolated entries spread evenly over the relays, and so
 // that a change of one relay leaves the lists without it as they are.
 
-#ifndef FIREFLYROUTE_CORE_RELAY_DIRECTORY_H
-#define FIREFLYROUTE_CORE_RELAY_DIRECTORY_H
+#ifndef FIREFLYROUTE_CORE_PATHS_RELAY_DIRECTORY_H
+#define FIREFLYROUTE_CORE_PATHS_RELAY_DIRECTORY_H
 
 #include "core/common/clock.h"
 #include "core/places/regions.h"
--- a/core/places/evacuation.h
+++ b/core/places/evacuation.h
@@ -2,8 +2,8 @@
 //
 //   if (mayServe(view.evacuations, endpoint)) candidates.push_back(&endpoint);
 
-#ifndef FIREFLYROUTE_CORE_EVACUATION_H
-#define FIREFLYROUTE_CORE_EVACUATION_H
+#ifndef FIREFLYROUTE_CORE_PLACES_EVACUATION_H
+#define FIREFLYROUTE_CORE_PLACES_EVACUATION_H
 
 #include "core/endpoints/endpoint_registry.h"
 #include "core/site/site_state.h"
--- a/core/places/region_policy.h
+++ b/core/places/region_policy.h
@@ -8,8 +8,8 @@
 // data centre without a configured region, or in a region that a list doesn't name, never serves a
 // restricted request.
 
-#ifndef FIREFLYROUTE_CORE_REGION_POLICY_H
-#define FIREFLYROUTE_CORE_REGION_POLICY_H
+#ifndef FIREFLYROUTE_CORE_PLACES_REGION_POLICY_H
+#define FIREFLYROUTE_CORE_PLACES_REGION_POLICY_H
 
 #include "core/places/regions.h"
 
--- a/core/places/regions.h
+++ b/core/places/regions.h
@@ -1,7 +1,7 @@
 // Regions of data centres, as configured in the settings.
 
-#ifndef FIREFLYROUTE_CORE_REGIONS_H
-#define FIREFLYROUTE_CORE_REGIONS_H
+#ifndef FIREFLYROUTE_CORE_PLACES_REGIONS_H
+#define FIREFLYROUTE_CORE_PLACES_REGIONS_H
 
 #include "core/common/types.h"
 
--- a/core/quality/quality_estimate.h
+++ b/core/quality/quality_estimate.h
@@ -17,8 +17,8 @@
 // The weight of a rating decays with the number of later ratings and not with time, so the estimate
 // of an idle version does not change.
 
-#ifndef FIREFLYROUTE_CORE_QUALITY_ESTIMATE_H
-#define FIREFLYROUTE_CORE_QUALITY_ESTIMATE_H
+#ifndef FIREFLYROUTE_CORE_QUALITY_QUALITY_ESTIMATE_H
+#define FIREFLYROUTE_CORE_QUALITY_QUALITY_ESTIMATE_H
 
 #include "core/common/types.h"
 
--- a/core/quality/quality_table.h
+++ b/core/quality/quality_table.h
@@ -10,8 +10,8 @@
 // A row of a delta contains the total since the origin started. Repeated, reordered or lost deltas
 // are therefore harmless: a later total contains the earlier one.
 
-#ifndef FIREFLYROUTE_CORE_QUALITY_TABLE_H
-#define FIREFLYROUTE_CORE_QUALITY_TABLE_H
+#ifndef FIREFLYROUTE_CORE_QUALITY_QUALITY_TABLE_H
+#define FIREFLYROUTE_CORE_QUALITY_QUALITY_TABLE_H
 
 #include "core/quality/quality_estimate.h"
 
--- a/core/quality/rating_policy.h
+++ b/core/quality/rating_policy.h
@@ -10,8 +10,8 @@
 // An answer waits for its rating only if it could still be replaced by a more expensive one, and
 // only until a deadline; see core/cascade.h.
 
-#ifndef FIREFLYROUTE_CORE_RATING_POLICY_H
-#define FIREFLYROUTE_CORE_RATING_POLICY_H
+#ifndef FIREFLYROUTE_CORE_QUALITY_RATING_POLICY_H
+#define FIREFLYROUTE_CORE_QUALITY_RATING_POLICY_H
 
 #include "core/common/clock.h"
 #include "core/quality/quality_estimate.h"
--- a/core/quality/sequential_test.h
+++ b/core/quality/sequential_test.h
@@ -15,8 +15,8 @@
 // The wealth after a batch depends only on its counts and not on their order, so that merged deltas
 // of many entries give a unique result. Ratings are rounded in favour of the null hypothesis.
 
-#ifndef FIREFLYROUTE_CORE_SEQUENTIAL_TEST_H
-#define FIREFLYROUTE_CORE_SEQUENTIAL_TEST_H
+#ifndef FIREFLYROUTE_CORE_QUALITY_SEQUENTIAL_TEST_H
+#define FIREFLYROUTE_CORE_QUALITY_SEQUENTIAL_TEST_H
 
 #include "core/quality/quality_estimate.h"
 
--- a/core/quarantine/crash_attribution.h
+++ b/core/quarantine/crash_attribution.h
@@ -12,8 +12,8 @@
 // on all entries if it stays suspect while other requests of the service are answered. Crashes that
 // a quarantined trait explains are no evidence against the others.
 
-#ifndef FIREFLYROUTE_CORE_CRASH_ATTRIBUTION_H
-#define FIREFLYROUTE_CORE_CRASH_ATTRIBUTION_H
+#ifndef FIREFLYROUTE_CORE_QUARANTINE_CRASH_ATTRIBUTION_H
+#define FIREFLYROUTE_CORE_QUARANTINE_CRASH_ATTRIBUTION_H
 
 #include "core/common/clock.h"
 #include "core/site/site_messages.h"
--- a/core/quarantine/crash_watch.h
+++ b/core/quarantine/crash_watch.h
@@ -11,8 +11,8 @@
 //
 // core/crash_attribution.h decides which traits are quarantined.
 
-#ifndef FIREFLYROUTE_CORE_CRASH_WATCH_H
-#define FIREFLYROUTE_CORE_CRASH_WATCH_H
+#ifndef FIREFLYROUTE_CORE_QUARANTINE_CRASH_WATCH_H
+#define FIREFLYROUTE_CORE_QUARANTINE_CRASH_WATCH_H
 
 #include "core/calls/site_calls.h"
 #include "core/common/clock.h"
--- a/core/quarantine/quarantine.h
+++ b/core/quarantine/quarantine.h
@@ -17,8 +17,8 @@
 // of crashes it was cleared of, and whether it is quarantined. All three only grow until the record
 // expires, so deltas may be repeated, lost or reordered.
 
-#ifndef FIREFLYROUTE_CORE_QUARANTINE_H
-#define FIREFLYROUTE_CORE_QUARANTINE_H
+#ifndef FIREFLYROUTE_CORE_QUARANTINE_QUARANTINE_H
+#define FIREFLYROUTE_CORE_QUARANTINE_QUARANTINE_H
 
 #include "core/common/clock.h"
 #include "core/common/errors.h"
--- a/core/requests/event_stream.h
+++ b/core/requests/event_stream.h
@@ -8,8 +8,8 @@
 //
 // An attempt may fail in the middle of an event; an incomplete event is never relayed.
 
-#ifndef FIREFLYROUTE_CORE_EVENT_STREAM_H
-#define FIREFLYROUTE_CORE_EVENT_STREAM_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_EVENT_STREAM_H
+#define FIREFLYROUTE_CORE_REQUESTS_EVENT_STREAM_H
 
 #include "core/common/enum_names.h"
 
--- a/core/requests/fleet_policy.h
+++ b/core/requests/fleet_policy.h
@@ -8,8 +8,8 @@
 //
 // Not thread safe. A decision takes a few microseconds, so a single mutex is sufficient.
 
-#ifndef FIREFLYROUTE_CORE_FLEET_POLICY_H
-#define FIREFLYROUTE_CORE_FLEET_POLICY_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_FLEET_POLICY_H
+#define FIREFLYROUTE_CORE_REQUESTS_FLEET_POLICY_H
 
 #include "core/balancing/endpoint_choice.h"
 #include "core/quality/quality_table.h"
--- a/core/requests/request_machine.h
+++ b/core/requests/request_machine.h
@@ -9,8 +9,8 @@
 // Attempts are numbered from 1. Inputs of attempts other than the current one are dropped, so that
 // delayed chunks of earlier attempts never reach the caller.
 
-#ifndef FIREFLYROUTE_CORE_REQUEST_MACHINE_H
-#define FIREFLYROUTE_CORE_REQUEST_MACHINE_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_REQUEST_MACHINE_H
+#define FIREFLYROUTE_CORE_REQUESTS_REQUEST_MACHINE_H
 
 #include "core/ledger/ledger_claims.h"
 #include "core/ledger/ledger_types.h"
--- a/core/requests/request_messages.h
+++ b/core/requests/request_messages.h
@@ -1,7 +1,7 @@
 // Inputs and actions of RequestMachine.
 
-#ifndef FIREFLYROUTE_CORE_REQUEST_MESSAGES_H
-#define FIREFLYROUTE_CORE_REQUEST_MESSAGES_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_REQUEST_MESSAGES_H
+#define FIREFLYROUTE_CORE_REQUESTS_REQUEST_MESSAGES_H
 
 #include "core/common/errors.h"
 #include "core/ledger/ledger_types.h"
--- a/core/requests/retry_budget.h
+++ b/core/requests/retry_budget.h
@@ -12,8 +12,8 @@
 // rate stays below the configured fraction of the rate of first attempts plus a floor. The floor is
 // divided by the number of live entries, so that the total does not grow with that number.
 
-#ifndef FIREFLYROUTE_CORE_RETRY_BUDGET_H
-#define FIREFLYROUTE_CORE_RETRY_BUDGET_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_RETRY_BUDGET_H
+#define FIREFLYROUTE_CORE_REQUESTS_RETRY_BUDGET_H
 
 #include "core/admission/admission_rate.h"
 #include "core/common/clock.h"
--- a/core/requests/routing_policy.h
+++ b/core/requests/routing_policy.h
@@ -1,8 +1,8 @@
 // The concept of a routing policy: it plans which versions may answer a request and selects the
 // endpoint of each attempt. RequestMachine takes a policy as a template parameter.
 
-#ifndef FIREFLYROUTE_CORE_ROUTING_POLICY_H
-#define FIREFLYROUTE_CORE_ROUTING_POLICY_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_ROUTING_POLICY_H
+#define FIREFLYROUTE_CORE_REQUESTS_ROUTING_POLICY_H
 
 #include "core/balancing/endpoint_choice_index.h"
 #include "core/calls/caller_request.h"
--- a/core/requests/sendings.h
+++ b/core/requests/sendings.h
@@ -6,8 +6,8 @@
 //   const RetryVerdict verdict = attempts.retryVerdict(isIdempotent, isAnswerStarted);
 //   switch (attempts.nextStep(verdict, route.maxAttempts, isAffordable, isStreamStarted)) ...
 
-#ifndef FIREFLYROUTE_CORE_SENDINGS_H
-#define FIREFLYROUTE_CORE_SENDINGS_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_SENDINGS_H
+#define FIREFLYROUTE_CORE_REQUESTS_SENDINGS_H
 
 #include "core/common/enum_names.h"
 #include "core/common/types.h"
--- a/core/requests/testing/fake_request.h
+++ b/core/requests/testing/fake_request.h
@@ -1,7 +1,7 @@
 // RequestMachine with a fixed policy and a small configuration, for tests that supply its inputs.
 
-#ifndef FIREFLYROUTE_CORE_TESTING_FAKE_REQUEST_H
-#define FIREFLYROUTE_CORE_TESTING_FAKE_REQUEST_H
+#ifndef FIREFLYROUTE_CORE_REQUESTS_TESTING_FAKE_REQUEST_H
+#define FIREFLYROUTE_CORE_REQUESTS_TESTING_FAKE_REQUEST_H
 
 #include "core/requests/request_machine.h"
 
--- a/core/sessions/prefix_cache.h
+++ b/core/sessions/prefix_cache.h
@@ -10,8 +10,8 @@
 //   cache.observe(chosen, prefixes, now);                              // a request was dispatched
 //   cache.invalidate(endpoint, now);                                   // the endpoint restarted
 
-#ifndef FIREFLYROUTE_CORE_PREFIX_CACHE_H
-#define FIREFLYROUTE_CORE_PREFIX_CACHE_H
+#ifndef FIREFLYROUTE_CORE_SESSIONS_PREFIX_CACHE_H
+#define FIREFLYROUTE_CORE_SESSIONS_PREFIX_CACHE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/sessions/prompt_index.h
+++ b/core/sessions/prompt_index.h
@@ -8,8 +8,8 @@
 //   send(index.takeUpdates());                      // to the other entries
 //   index.applyUpdates(updates, now);               // from the other entries
 
-#ifndef FIREFLYROUTE_CORE_PROMPT_INDEX_H
-#define FIREFLYROUTE_CORE_PROMPT_INDEX_H
+#ifndef FIREFLYROUTE_CORE_SESSIONS_PROMPT_INDEX_H
+#define FIREFLYROUTE_CORE_SESSIONS_PROMPT_INDEX_H
 
 #include "core/calls/site_calls.h"
 #include "core/sessions/prefix_cache.h"
--- a/core/sessions/session_pins.h
+++ b/core/sessions/session_pins.h
@@ -12,8 +12,8 @@
 // their version without pins. The selection of a session does not depend on the roll-out, so its
 // pin is published before a roll-out starts.
 
-#ifndef FIREFLYROUTE_CORE_SESSION_PINS_H
-#define FIREFLYROUTE_CORE_SESSION_PINS_H
+#ifndef FIREFLYROUTE_CORE_SESSIONS_SESSION_PINS_H
+#define FIREFLYROUTE_CORE_SESSIONS_SESSION_PINS_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/site/control_directory.h
+++ b/core/site/control_directory.h
@@ -9,8 +9,8 @@
 // Recent contacts are needed by a process that has no membership yet: the leader may not be one of
 // the seeds, and the process cannot reply to it without a connection.
 
-#ifndef FIREFLYROUTE_CORE_CONTROL_DIRECTORY_H
-#define FIREFLYROUTE_CORE_CONTROL_DIRECTORY_H
+#ifndef FIREFLYROUTE_CORE_SITE_CONTROL_DIRECTORY_H
+#define FIREFLYROUTE_CORE_SITE_CONTROL_DIRECTORY_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/site/home_choice.h
+++ b/core/site/home_choice.h
@@ -6,8 +6,8 @@
 // A rendezvous hash spreads the entries over the control VMs of their region, or over all if none
 // of those is connected, and moves as few entries as possible when the candidates change.
 
-#ifndef FIREFLYROUTE_CORE_HOME_CHOICE_H
-#define FIREFLYROUTE_CORE_HOME_CHOICE_H
+#ifndef FIREFLYROUTE_CORE_SITE_HOME_CHOICE_H
+#define FIREFLYROUTE_CORE_SITE_HOME_CHOICE_H
 
 #include "core/common/stable_hash.h"
 #include "core/common/types.h"
--- a/core/site/site_messages.h
+++ b/core/site/site_messages.h
@@ -1,8 +1,8 @@
 // Messages between the processes of a site. Entries keep a connection to every control VM, and
 // control VMs keep connections to each other. The encoding is in net/site_codec.h.
 
-#ifndef FIREFLYROUTE_CORE_SITE_MESSAGES_H
-#define FIREFLYROUTE_CORE_SITE_MESSAGES_H
+#ifndef FIREFLYROUTE_CORE_SITE_SITE_MESSAGES_H
+#define FIREFLYROUTE_CORE_SITE_SITE_MESSAGES_H
 
 #include "core/endpoints/endpoint_registry.h"
 #include "core/group/replication_types.h"
--- a/core/site/site_state.h
+++ b/core/site/site_state.h
@@ -10,8 +10,8 @@
 // The document with the highest version is kept. Commands are idempotent: a repeated command has no
 // effect.
 
-#ifndef FIREFLYROUTE_CORE_SITE_STATE_H
-#define FIREFLYROUTE_CORE_SITE_STATE_H
+#ifndef FIREFLYROUTE_CORE_SITE_SITE_STATE_H
+#define FIREFLYROUTE_CORE_SITE_SITE_STATE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/site/state_feed.h
+++ b/core/site/state_feed.h
@@ -5,8 +5,8 @@
 //   if (auto announcement = feed.onChange(state, now)) link.send(*announcement);
 //   if (auto update = StateFeed::answer(request, state)) link.send(*update);
 
-#ifndef FIREFLYROUTE_CORE_STATE_FEED_H
-#define FIREFLYROUTE_CORE_STATE_FEED_H
+#ifndef FIREFLYROUTE_CORE_SITE_STATE_FEED_H
+#define FIREFLYROUTE_CORE_SITE_STATE_FEED_H
 
 #include "core/common/clock.h"
 #include "core/site/site_messages.h"
--- a/core/site/state_fetch.h
+++ b/core/site/state_fetch.h
@@ -13,8 +13,8 @@
 //
 // startRequest() is to be called after each of these events, and periodically.
 
-#ifndef FIREFLYROUTE_CORE_STATE_FETCH_H
-#define FIREFLYROUTE_CORE_STATE_FETCH_H
+#ifndef FIREFLYROUTE_CORE_SITE_STATE_FETCH_H
+#define FIREFLYROUTE_CORE_SITE_STATE_FETCH_H
 
 #include "core/common/clock.h"
 #include "core/site/site_messages.h"
--- a/core/site/update_relay.h
+++ b/core/site/update_relay.h
@@ -11,8 +11,8 @@
 // Updates of a control VM are not forwarded to other control VMs, so none circulates. The order of
 // the updates of each sender is kept. An entry receives its own updates as well.
 
-#ifndef FIREFLYROUTE_CORE_UPDATE_RELAY_H
-#define FIREFLYROUTE_CORE_UPDATE_RELAY_H
+#ifndef FIREFLYROUTE_CORE_SITE_UPDATE_RELAY_H
+#define FIREFLYROUTE_CORE_SITE_UPDATE_RELAY_H
 
 #include "core/site/site_messages.h"
 
--- a/core/site/work_exchange.h
+++ b/core/site/work_exchange.h
@@ -7,8 +7,8 @@
 //   entryLink.send(exchange.workOfOthers(entry, now));
 //   controlLink.send(exchange.workOfEntries(now));
 
-#ifndef FIREFLYROUTE_CORE_WORK_EXCHANGE_H
-#define FIREFLYROUTE_CORE_WORK_EXCHANGE_H
+#ifndef FIREFLYROUTE_CORE_SITE_WORK_EXCHANGE_H
+#define FIREFLYROUTE_CORE_SITE_WORK_EXCHANGE_H
 
 #include "core/site/site_messages.h"
 
--- a/core/stop/stop_sequence.h
+++ b/core/stop/stop_sequence.h
@@ -10,8 +10,8 @@
 // without notice, and the exit comes only after no connection is left on which a request could
 // arrive, or when the time is used up.
 
-#ifndef FIREFLYROUTE_CORE_STOP_SEQUENCE_H
-#define FIREFLYROUTE_CORE_STOP_SEQUENCE_H
+#ifndef FIREFLYROUTE_CORE_STOP_STOP_SEQUENCE_H
+#define FIREFLYROUTE_CORE_STOP_STOP_SEQUENCE_H
 
 #include "core/common/clock.h"
 #include "core/common/enum_names.h"
--- a/core/stop/turn_watch.h
+++ b/core/stop/turn_watch.h
@@ -9,8 +9,8 @@
 // An event that had arrived before the turn that precedes the last one would have been seen by now.
 // The last turn itself shows nothing: a thread that was held up may run its timer first.
 
-#ifndef FIREFLYROUTE_CORE_TURN_WATCH_H
-#define FIREFLYROUTE_CORE_TURN_WATCH_H
+#ifndef FIREFLYROUTE_CORE_STOP_TURN_WATCH_H
+#define FIREFLYROUTE_CORE_STOP_TURN_WATCH_H
 
 #include "core/common/clock.h"
 
--- a/core/timeline/event_log.h
+++ b/core/timeline/event_log.h
@@ -9,8 +9,8 @@
 // Not thread safe. A process with several recording threads needs one log per thread or an external
 // lock.
 
-#ifndef FIREFLYROUTE_CORE_EVENT_LOG_H
-#define FIREFLYROUTE_CORE_EVENT_LOG_H
+#ifndef FIREFLYROUTE_CORE_TIMELINE_EVENT_LOG_H
+#define FIREFLYROUTE_CORE_TIMELINE_EVENT_LOG_H
 
 #include "core/common/types.h"
 #include "core/timeline/hybrid_clock.h"
--- a/core/timeline/hybrid_clock.h
+++ b/core/timeline/hybrid_clock.h
@@ -13,8 +13,8 @@
 // is corrected. If the local wall clock goes back, timestamps do not: the clock keeps the latest
 // time and increments the counter.
 
-#ifndef FIREFLYROUTE_CORE_HYBRID_CLOCK_H
-#define FIREFLYROUTE_CORE_HYBRID_CLOCK_H
+#ifndef FIREFLYROUTE_CORE_TIMELINE_HYBRID_CLOCK_H
+#define FIREFLYROUTE_CORE_TIMELINE_HYBRID_CLOCK_H
 
 #include "core/common/clock.h"
 
--- a/core/timeline/timeline_text.h
+++ b/core/timeline/timeline_text.h
@@ -4,8 +4,8 @@
 //   fmt::print("{}\n", timelineLine(event));
 //   file << timelineHtml(selectEvents(events, filter), "Withdrawal of returns@3");
 
-#ifndef FIREFLYROUTE_CORE_TIMELINE_TEXT_H
-#define FIREFLYROUTE_CORE_TIMELINE_TEXT_H
+#ifndef FIREFLYROUTE_CORE_TIMELINE_TIMELINE_TEXT_H
+#define FIREFLYROUTE_CORE_TIMELINE_TIMELINE_TEXT_H
 
 #include "core/timeline/event_log.h"
 
--- a/core/versions/cascade.h
+++ b/core/versions/cascade.h
@@ -8,8 +8,8 @@
 // The cascade does not handle endpoints: the caller retries a step on another endpoint. Several
 // steps may answer; exactly one answer is delivered and billed.
 
-#ifndef FIREFLYROUTE_CORE_CASCADE_H
-#define FIREFLYROUTE_CORE_CASCADE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_CASCADE_H
+#define FIREFLYROUTE_CORE_VERSIONS_CASCADE_H
 
 #include "core/common/clock.h"
 #include "core/versions/version_choice.h"
--- a/core/versions/exposure.h
+++ b/core/versions/exposure.h
@@ -12,8 +12,8 @@
 // exception requests by name is neither counted nor limited; sessions keep the version that they
 // were assigned.
 
-#ifndef FIREFLYROUTE_CORE_EXPOSURE_H
-#define FIREFLYROUTE_CORE_EXPOSURE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_EXPOSURE_H
+#define FIREFLYROUTE_CORE_VERSIONS_EXPOSURE_H
 
 #include "core/common/types.h"
 
--- a/core/versions/fault_sieve.h
+++ b/core/versions/fault_sieve.h
@@ -9,8 +9,8 @@
 //
 // A run is returned only after the window around its failure has passed.
 
-#ifndef FIREFLYROUTE_CORE_FAULT_SIEVE_H
-#define FIREFLYROUTE_CORE_FAULT_SIEVE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_FAULT_SIEVE_H
+#define FIREFLYROUTE_CORE_VERSIONS_FAULT_SIEVE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/versions/latency_baseline.h
+++ b/core/versions/latency_baseline.h
@@ -10,8 +10,8 @@
 // and a minority of slow endpoints must not hide it. The median is exact from the first answers on:
 // an entry of a large fleet sees few answers of each kind.
 
-#ifndef FIREFLYROUTE_CORE_LATENCY_BASELINE_H
-#define FIREFLYROUTE_CORE_LATENCY_BASELINE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_LATENCY_BASELINE_H
+#define FIREFLYROUTE_CORE_VERSIONS_LATENCY_BASELINE_H
 
 #include "core/common/clock.h"
 #include "core/common/types.h"
--- a/core/versions/model_choice.h
+++ b/core/versions/model_choice.h
@@ -7,8 +7,8 @@
 //   if (!chooser.acceptsAnswer(route, model, 35, {400ms, 3s, 20s}))
 //       model = chooser.nextModel(route, model, 35);
 
-#ifndef FIREFLYROUTE_CORE_MODEL_CHOICE_H
-#define FIREFLYROUTE_CORE_MODEL_CHOICE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_MODEL_CHOICE_H
+#define FIREFLYROUTE_CORE_VERSIONS_MODEL_CHOICE_H
 
 #include "core/config/site_config.h"
 
--- a/core/versions/rollout_guard.h
+++ b/core/versions/rollout_guard.h
@@ -17,8 +17,8 @@
 // resets its state for the version. The state is not durable: after a change of leader it is
 // rebuilt from the totals that entries send, and until then a version is not validated.
 
-#ifndef FIREFLYROUTE_CORE_ROLLOUT_GUARD_H
-#define FIREFLYROUTE_CORE_ROLLOUT_GUARD_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_ROLLOUT_GUARD_H
+#define FIREFLYROUTE_CORE_VERSIONS_ROLLOUT_GUARD_H
 
 #include "core/config/control_command.h"
 #include "core/quality/quality_table.h"
--- a/core/versions/rollout_judge.h
+++ b/core/versions/rollout_judge.h
@@ -14,8 +14,8 @@
 // time after maxSuspectAnswers of them, a version without evidence for its health is rolled back,
 // since a faulty version costs callers more than a sound one that is late.
 
-#ifndef FIREFLYROUTE_CORE_ROLLOUT_JUDGE_H
-#define FIREFLYROUTE_CORE_ROLLOUT_JUDGE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_ROLLOUT_JUDGE_H
+#define FIREFLYROUTE_CORE_VERSIONS_ROLLOUT_JUDGE_H
 
 #include "core/site/site_messages.h"
 
--- a/core/versions/rollout_schedule.h
+++ b/core/versions/rollout_schedule.h
@@ -14,8 +14,8 @@
 // Within a term the leader derives wall-clock time from its monotonic clock, so that a step of the
 // wall clock does not advance a roll-out; a stage requires ratings in any case.
 
-#ifndef FIREFLYROUTE_CORE_ROLLOUT_SCHEDULE_H
-#define FIREFLYROUTE_CORE_ROLLOUT_SCHEDULE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_ROLLOUT_SCHEDULE_H
+#define FIREFLYROUTE_CORE_VERSIONS_ROLLOUT_SCHEDULE_H
 
 #include "core/config/control_command.h"
 #include "core/leases/config_lease.h"
--- a/core/versions/testing/quality_experiment.h
+++ b/core/versions/testing/quality_experiment.h
@@ -6,8 +6,8 @@
 //   fleet.run(20000, TrafficKind::Auto);
 //   fleet.totals().cost
 
-#ifndef FIREFLYROUTE_CORE_TESTING_QUALITY_EXPERIMENT_H
-#define FIREFLYROUTE_CORE_TESTING_QUALITY_EXPERIMENT_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_TESTING_QUALITY_EXPERIMENT_H
+#define FIREFLYROUTE_CORE_VERSIONS_TESTING_QUALITY_EXPERIMENT_H
 
 #include "core/quality/quality_table.h"
 #include "core/quality/rating_policy.h"
--- a/core/versions/version_choice.h
+++ b/core/versions/version_choice.h
@@ -18,8 +18,8 @@
 // The choice has three phases: list the allowed versions, measure them (quality, endpoints,
 // exposure), and plan. Only the measuring phase depends on external types and is a template.
 
-#ifndef FIREFLYROUTE_CORE_VERSION_CHOICE_H
-#define FIREFLYROUTE_CORE_VERSION_CHOICE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_VERSION_CHOICE_H
+#define FIREFLYROUTE_CORE_VERSIONS_VERSION_CHOICE_H
 
 #include "core/common/errors.h"
 #include "core/common/types.h"
--- a/core/versions/version_gate.h
+++ b/core/versions/version_gate.h
@@ -9,8 +9,8 @@
 // stage to the next. Without a roll-out, only the version of most endpoints is admitted; another
 // version must wait for its roll-out.
 
-#ifndef FIREFLYROUTE_CORE_VERSION_GATE_H
-#define FIREFLYROUTE_CORE_VERSION_GATE_H
+#ifndef FIREFLYROUTE_CORE_VERSIONS_VERSION_GATE_H
+#define FIREFLYROUTE_CORE_VERSIONS_VERSION_GATE_H
 
 #include "core/endpoints/endpoint_registry.h"
 #include "core/site/site_state.h"
