--- a/app/load_profile.h
+++ b/app/load_profile.h
@@ -1,5 +1,5 @@
-// Load test profiles as JSON files: the input of core/load_plan.h, and the tokens of the client
-// accounts that send the requests.
+// Load test profiles as JSON files: the input of core/load/load_plan.h, and the tokens of the
+// client accounts that send the requests.
 //
 //   {"seed": 7, "requests_per_second": 50, "max_requests": 500, "duration_ms": 10000,
 //    "accounts": [{"id": "duka-1", "token": "duka-1.SECRET"}],
--- a/app/process_stop.h
+++ b/app/process_stop.h
@@ -1,5 +1,5 @@
-// Carries out the planned stop of a process (core/stop_sequence.h) on the thread that serves its
-// sessions, so that no request is read after the decision to exit: no session is left by then.
+// Carries out the planned stop of a process (core/stop/stop_sequence.h) on the thread that serves
+// its sessions, so that no request is read after the decision to exit: no session is left by then.
 //
 //   ProcessStop stop(io, sequence, log);
 //   stop.begin(group, countTunnels, [] { ... }); // runs once, when the process is to exit
--- a/app/proxy_request_admit.h
+++ b/app/proxy_request_admit.h
@@ -2,9 +2,9 @@
 //
 // In: the route, the account and the content of the request.
 // Out: an admitted request, which starts its first attempt, or a refusal, as the policy of the
-// entry decides (core/request_admission.h). For later phases: whether the request shares a trait
-// with requests that crashed endpoints. This is asked before every attempt, because a trait may be
-// quarantined while the request runs.
+// entry decides (core/admission/request_admission.h). For later phases: whether the request shares
+// a trait with requests that crashed endpoints. This is asked before every attempt, because a trait
+// may be quarantined while the request runs.
 
 #ifndef FIREFLYROUTE_APP_PROXY_REQUEST_ADMIT_H
 #define FIREFLYROUTE_APP_PROXY_REQUEST_ADMIT_H
--- a/core/admission/admission_impl.h
+++ b/core/admission/admission_impl.h
@@ -1,4 +1,4 @@
-// Member functions of Admission. Included by core/admission.h only.
+// Member functions of Admission. Included by core/admission/admission.h only.
 
 #ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_IMPL_H
 #define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_IMPL_H
--- a/core/admission/admission_types.h
+++ b/core/admission/admission_types.h
@@ -1,4 +1,4 @@
-// Inputs and actions of the admission state machine in core/admission.h.
+// Inputs and actions of the admission state machine in core/admission/admission.h.
 
 #ifndef FIREFLYROUTE_CORE_ADMISSION_ADMISSION_TYPES_H
 #define FIREFLYROUTE_CORE_ADMISSION_ADMISSION_TYPES_H
--- a/core/balancing/endpoint_monitor.h
+++ b/core/balancing/endpoint_monitor.h
@@ -6,7 +6,7 @@
 //   monitor.recordEnd(id);
 //   if (monitor.isUsable(id, now)) ...
 //
-// Requests of other entries are included as reported by the home (core/work_exchange.h).
+// Requests of other entries are included as reported by the home (core/site/work_exchange.h).
 //
 // After a failure an endpoint is in cooldown; the cooldown doubles with each consecutive failure.
 // After the cooldown the endpoint is probed with one request at a time.
--- a/core/balancing/endpoint_pick.h
+++ b/core/balancing/endpoint_pick.h
@@ -4,9 +4,9 @@
 //   EndpointPicker picker(localDataCentre, regions);
 //   const EndpointRecord *endpoint = picker.pick(candidates, request, monitor, now).endpoint;
 //
-// core/prompt_index.h estimates where the shared parts of a prompt are cached. For parts that no
-// endpoint has processed yet, a rendezvous hash selects the same endpoint on all entries of a
-// region.
+// core/sessions/prompt_index.h estimates where the shared parts of a prompt are cached. For parts
+// that no endpoint has processed yet, a rendezvous hash selects the same endpoint on all entries of
+// a region.
 
 #ifndef FIREFLYROUTE_CORE_BALANCING_ENDPOINT_PICK_H
 #define FIREFLYROUTE_CORE_BALANCING_ENDPOINT_PICK_H
--- a/core/balancing/testing/fleet_load_test.cpp
+++ b/core/balancing/testing/fleet_load_test.cpp
@@ -1,5 +1,5 @@
 // Endpoint selection by hundreds of entries under load, on the model of
-// core/testing/fleet_load_model.h.
+// core/balancing/testing/fleet_load_model.h.
 
 #define BOOST_TEST_MODULE fleet_load
 #include "core/balancing/testing/fleet_load_model.h"
--- a/core/cold/cold_allowance.h
+++ b/core/cold/cold_allowance.h
@@ -1,6 +1,6 @@
 // Decides on an entry whether it may send one more request to a cold endpoint now. The leader
-// grants each entry parts of the endpoint's allowance (core/cold_grants.h); each part permits one
-// request per kColdPartInterval, and none before the first interval has passed.
+// grants each entry parts of the endpoint's allowance (core/cold/cold_grants.h); each part permits
+// one request per kColdPartInterval, and none before the first interval has passed.
 //
 //   ColdAllowance allowance(kColdGrantLifetime);
 //   allowance.applyGrants(grants, probeSentAt, now);
--- a/core/config/fleet_config.h
+++ b/core/config/fleet_config.h
@@ -5,7 +5,7 @@
 //
 // validate() checks whether a configuration is valid by itself. The rules for changes from one
 // configuration to the next (revisions, withdrawn versions) are enforced by ConfigState in
-// core/config_state.h.
+// core/config/config_state.h.
 
 #ifndef FIREFLYROUTE_CORE_CONFIG_FLEET_CONFIG_H
 #define FIREFLYROUTE_CORE_CONFIG_FLEET_CONFIG_H
--- a/core/config/rollout_change.h
+++ b/core/config/rollout_change.h
@@ -1,5 +1,6 @@
 // Roll-outs as configuration changes: how starting, stepping, holding and cancelling change the
-// configuration, and when a change is rejected. core/rollout_schedule.h decides when to step.
+// configuration, and when a change is rejected. core/versions/rollout_schedule.h decides when to
+// step.
 //
 //   running --advance--> running (next stage) --advance at 1000 permille, or finish--> done
 //   running --hold--> held --resume--> running       running or held --cancel--> done
--- a/core/endpoints/endpoint.h
+++ b/core/endpoints/endpoint.h
@@ -1,5 +1,5 @@
 // Endpoint announcements, and the state that an entry records for each endpoint. The directory that
-// collects them is in core/directory.h.
+// collects them is in core/endpoints/directory.h.
 
 #ifndef FIREFLYROUTE_CORE_ENDPOINTS_ENDPOINT_H
 #define FIREFLYROUTE_CORE_ENDPOINTS_ENDPOINT_H
--- a/core/group/replica_actions.h
+++ b/core/group/replica_actions.h
@@ -1,5 +1,5 @@
-// Inputs that the control thread passes to a Replica (core/replica.h), and actions that the Replica
-// requests from the control thread.
+// Inputs that the control thread passes to a Replica (core/group/replica.h), and actions that the
+// Replica requests from the control thread.
 
 #ifndef FIREFLYROUTE_CORE_GROUP_REPLICA_ACTIONS_H
 #define FIREFLYROUTE_CORE_GROUP_REPLICA_ACTIONS_H
--- a/core/group/replication_types.h
+++ b/core/group/replication_types.h
@@ -1,5 +1,6 @@
 // Types and messages of the replicated log: members, log entries, and the messages between
-// replicas. The protocol logic is in core/replica.h and the encoding in net/replication_json.h.
+// replicas. The protocol logic is in core/group/replica.h and the encoding in
+// net/replication_json.h.
 //
 //   ReplicaId self{VmId("vm-1"), Incarnation(3)};
 //   Membership membership{{Member{self, MemberRole::Voter}}};
--- a/core/leases/lease_grant.h
+++ b/core/leases/lease_grant.h
@@ -1,5 +1,5 @@
 // Messages of configuration leases between the leader and the entries, and the granting of leases
-// by the leader. Entries use core/lease_holder.h.
+// by the leader. Entries use core/leases/lease_holder.h.
 //
 //   LeaseGranter granter(GroupId(0));
 //   granter.startTerm(authority, now);                            // at each election
--- a/core/ledger/ledger_types.h
+++ b/core/ledger/ledger_types.h
@@ -1,5 +1,5 @@
 // Types of the record ledger, the put-if-absent store for session pins, claims of calls that may be
-// executed only once, and bills. The ledger itself is in core/ledger.h.
+// executed only once, and bills. The ledger itself is in core/ledger/ledger.h.
 //
 //   put {Pin,  "account/session"} = "model@version"  -> Created, or Exists with the earlier value
 //   put {Claim,"account/key"}     = fingerprint      -> Created, or Exists with state and answer
--- a/core/quality/quality_estimate.h
+++ b/core/quality/quality_estimate.h
@@ -12,7 +12,7 @@
 // rating moves mean and variance away from it. Compared with Hoeffding or empirical Bernstein
 // bounds, this exploits the small variance of ratings after about twenty of them, when Hoeffding's
 // interval is still wider than the difference between two models. The bounds affect cost only. A
-// faulty version is held by the anytime-valid test in core/sequential_test.h.
+// faulty version is held by the anytime-valid test in core/quality/sequential_test.h.
 //
 // The weight of a rating decays with the number of later ratings and not with time, so the estimate
 // of an idle version does not change.
--- a/core/quality/rating_policy.h
+++ b/core/quality/rating_policy.h
@@ -8,7 +8,7 @@
 //       send(queue.pop());                   // then recordSuccess() or recordFailure(now)
 //
 // An answer waits for its rating only if it could still be replaced by a more expensive one, and
-// only until a deadline; see core/cascade.h.
+// only until a deadline; see core/versions/cascade.h.
 
 #ifndef FIREFLYROUTE_CORE_QUALITY_RATING_POLICY_H
 #define FIREFLYROUTE_CORE_QUALITY_RATING_POLICY_H
--- a/core/quarantine/crash_attribution.h
+++ b/core/quarantine/crash_attribution.h
@@ -7,10 +7,10 @@
 //   if (attribution.update(now)) publish(attribution.state(now));
 //
 // Each request has traits that other requests share: the parts of its prompt, or a hash of what it
-// asks for (core/crash_watch.h). A trait is suspect while requests with it were in flight on
-// several endpoints that crashed and no request with it has been answered since. It is quarantined
-// on all entries if it stays suspect while other requests of the service are answered. Crashes that
-// a quarantined trait explains are no evidence against the others.
+// asks for (core/quarantine/crash_watch.h). A trait is suspect while requests with it were in
+// flight on several endpoints that crashed and no request with it has been answered since. It is
+// quarantined on all entries if it stays suspect while other requests of the service are answered.
+// Crashes that a quarantined trait explains are no evidence against the others.
 
 #ifndef FIREFLYROUTE_CORE_QUARANTINE_CRASH_ATTRIBUTION_H
 #define FIREFLYROUTE_CORE_QUARANTINE_CRASH_ATTRIBUTION_H
--- a/core/quarantine/crash_watch.h
+++ b/core/quarantine/crash_watch.h
@@ -9,7 +9,7 @@
 //   send(watch.takeReport(now));                          // to the leader
 //   watch.apply(state, now);                              // from the leader
 //
-// core/crash_attribution.h decides which traits are quarantined.
+// core/quarantine/crash_attribution.h decides which traits are quarantined.
 
 #ifndef FIREFLYROUTE_CORE_QUARANTINE_CRASH_WATCH_H
 #define FIREFLYROUTE_CORE_QUARANTINE_CRASH_WATCH_H
--- a/core/site/site_messages.h
+++ b/core/site/site_messages.h
@@ -150,7 +150,7 @@
     bool operator==(const QuarantinedTrait &) const = default;
 };
 
-// From an entry to the leader; see core/crash_watch.h.
+// From an entry to the leader; see core/quarantine/crash_watch.h.
 struct CrashReport
 {
     std::vector<EndpointCrash> crashes;
@@ -202,7 +202,7 @@
     bool operator==(const RelayList &) const = default;
 };
 
-// Parts of the allowance of a cold endpoint; see core/cold_grants.h.
+// Parts of the allowance of a cold endpoint; see core/cold/cold_grants.h.
 struct ColdGrant
 {
     EndpointId endpoint;
--- a/core/site/work_exchange.h
+++ b/core/site/work_exchange.h
@@ -1,5 +1,5 @@
 // Sums the outstanding work that entries report, so that each entry receives the work of all
-// others. Runs on every control VM: an entry reports to its home (core/home_choice.h), and the
+// others. Runs on every control VM: an entry reports to its home (core/site/home_choice.h), and the
 // control VMs send each other the sums of the entries at home there.
 //
 //   exchange.receive(entry, report, now);
--- a/core/timeline/timeline_text.h
+++ b/core/timeline/timeline_text.h
@@ -1,5 +1,6 @@
 // Renders events of the time line for display: one line of text per event, or a self-contained HTML
-// page. Both are pure functions of the events, which must be merged and sorted (core/event_log.h).
+// page. Both are pure functions of the events, which must be merged and sorted
+// (core/timeline/event_log.h).
 //
 //   fmt::print("{}\n", timelineLine(event));
 //   file << timelineHtml(selectEvents(events, filter), "Withdrawal of returns@3");
--- a/core/versions/version_choice.cpp
+++ b/core/versions/version_choice.cpp
@@ -1,5 +1,5 @@
 // Listing phase of version choice and helper functions. The planning phase is in
-// core/version_choice_plan.cpp.
+// core/versions/version_choice_plan.cpp.
 
 #include "core/versions/version_choice.h"
 
--- a/core/versions/version_choice.h
+++ b/core/versions/version_choice.h
@@ -148,7 +148,7 @@
     std::size_t maxSteps = 3;
 };
 
-// Source of quality estimates; see QualityView in core/quality_table.h.
+// Source of quality estimates; see QualityView in core/quality/quality_table.h.
 template<typename T>
 concept QualitySource = requires(const T &source, const QualityKey &key, double prior)
 {
@@ -169,7 +169,7 @@
         } -> std::same_as<bool>;
 };
 
-// Exposure limit in addition to the stable hash; see ExposureGate in core/exposure.h.
+// Exposure limit in addition to the stable hash; see ExposureGate in core/versions/exposure.h.
 template<typename T>
 concept ExposureLimit = requires(const T &limit, const ModelVersion &version)
 {
--- a/net/session_group.h
+++ b/net/session_group.h
@@ -6,8 +6,8 @@
 //   closeIdleSessions(*group.value(), quietPeriod);
 //
 // At the limit of connections, the one that has made no progress for longest gives way to a new
-// one; when bytes run short, those give way that core/byte_budget.h chooses. Connections whose
-// callers owe nothing stay open.
+// one; when bytes run short, those give way that core/admission/byte_budget.h chooses. Connections
+// whose callers owe nothing stay open.
 
 #ifndef FIREFLYROUTE_NET_SESSION_GROUP_H
 #define FIREFLYROUTE_NET_SESSION_GROUP_H
@@ -162,7 +162,7 @@
 // The text of the metrics of the group, whose names begin with the prefix.
 [[nodiscard]] std::string metricsOf(const SessionGroup &group, const std::string &prefix);
 
-// The steps of a stop, in this order. core/stop_sequence.h decides when each is due.
+// The steps of a stop, in this order. core/stop/stop_sequence.h decides when each is due.
 
 // From now on, each response announces the end of its connection.
 void announceEnd(SessionGroup &group);
--- a/store/replica_store.h
+++ b/store/replica_store.h
@@ -6,11 +6,11 @@
 //   store.value().writeEntries(group, entries);
 //   store.value().sync();                             // one sync for all groups
 //
-// Implements the storage actions of core/replica_actions.h: writeHardState() is WriteHardState,
-// writeEntries() WriteEntries, saveSnapshot() TakeSnapshot and installSnapshot() InstallSnapshot.
-// Written hard states and entries are durable after sync(), which is reported as SyncCompleted.
-// Both snapshot calls are durable when they return, together with everything written before. After
-// any failure the process has to stop.
+// Implements the storage actions of core/group/replica_actions.h: writeHardState() is
+// WriteHardState, writeEntries() WriteEntries, saveSnapshot() TakeSnapshot and installSnapshot()
+// InstallSnapshot. Written hard states and entries are durable after sync(), which is reported as
+// SyncCompleted. Both snapshot calls are durable when they return, together with everything written
+// before. After any failure the process has to stop.
 //
 // Files: `lock`; `identity`, which contains the incarnation of the folder; `journal-N`, the
 // segments of one journal; `snapshot-GROUP-INDEX`. A segment is removed once snapshots cover all
