Bound the log of control VMs by bytes

Control VMs exceeded 256 MB, were killed, and were killed again each time that they started.

Cause: each change stands in the log as a whole, and the log was bounded by its number of entries, 140.

Stored files and messages are unchanged.

--- a/app/control_vm.cpp
+++ b/app/control_vm.cpp
@@ -247,7 +247,7 @@
 {
     for (const core::LogEntry &entry : action.entries) {
         if (entry.kind == core::EntryKind::Command)
-            applyCommand(entry.payload);
+            applyCommand(entry.payload.value());
     }
 }
 
--- a/app/replica_driver.cpp
+++ b/app/replica_driver.cpp
@@ -25,9 +25,14 @@
 // Two journal segments and two snapshots have to fit on a disk of 128 MB.
 constexpr std::uint64_t kSegmentBytes = 8U << 20U;
 
-// Configurations are large entries. A snapshot every 100 entries keeps the journal small.
+// Configurations are large entries, of up to 4 MB. Frequent snapshots bound the journal, and what
+// of it is in memory, by their size and not only by their number.
 constexpr core::LogIndex kSnapshotAfterEntries = 100;
+constexpr std::uint64_t kSnapshotAfterBytes = 8U << 20U;
 constexpr core::LogIndex kRetainedEntries = 40;
+constexpr std::uint64_t kRetainedBytes = 8U << 20U;
+constexpr std::uint64_t kMaxUncoveredBytes = 24U << 20U;
+constexpr std::size_t kMaxInFlightBytes = 4U << 20U;
 
 // Maximum time between two ticks of a replica without an earlier deadline.
 constexpr std::chrono::seconds kMaxTickInterval{10};
@@ -60,6 +65,14 @@
     return recovered.hardState.term == 0 && !recovered.snapshot && recovered.entries.empty();
 }
 
+std::uint64_t sizeOf(const core::RecoveredReplica &recovered)
+{
+    std::uint64_t bytes = recovered.snapshot ? recovered.snapshot->data.size() : 0;
+    for (const core::LogEntry &entry : recovered.entries)
+        bytes += entry.payload.size();
+    return bytes;
+}
+
 core::Membership initialMembership(const std::vector<core::VmId> &seeds)
 {
     core::Membership membership;
@@ -117,7 +130,11 @@
     config.seeds = settings.seeds;
     config.timing = timing();
     config.limits.snapshotAfterEntries = kSnapshotAfterEntries;
+    config.limits.snapshotAfterBytes = kSnapshotAfterBytes;
     config.limits.retainedEntries = kRetainedEntries;
+    config.limits.retainedBytes = kRetainedBytes;
+    config.limits.maxUncoveredBytes = kMaxUncoveredBytes;
+    config.limits.maxInFlightBytes = kMaxInFlightBytes;
     config.membershipPolicy = membershipPolicy(settings.toleratedLosses);
     return std::unique_ptr<ReplicaDriver>(new ReplicaDriver(
             io, std::move(hooks), std::move(store.value()), config, std::move(recovered)));
@@ -129,14 +146,14 @@
     , timer_(io)
     , hooks_(std::move(hooks))
     , store_(std::move(store))
-    , replica_(config, recovered, std::minstd_rand(std::random_device()()), clock_.now())
-    , recoveredSnapshot_(recovered.snapshot)
+    , recoveredBytes_(sizeOf(recovered))
+    , replica_(config, std::move(recovered), std::minstd_rand(std::random_device()()), clock_.now())
 {}
 
 void ReplicaDriver::start()
 {
-    if (recoveredSnapshot_)
-        hooks_.load(recoveredSnapshot_->data);
+    if (const core::SnapshotPtr &snapshot = replica_.snapshot())
+        hooks_.load(snapshot->data);
     reportMembershipChange();
     scheduleTick();
 }
@@ -275,7 +292,7 @@
 {
     for (const core::LogEntry &entry : action.entries) {
         if (entry.kind == core::EntryKind::Command)
-            hooks_.apply(entry.payload);
+            hooks_.apply(entry.payload.value());
     }
 }
 
--- a/app/replica_driver.h
+++ b/app/replica_driver.h
@@ -66,6 +66,8 @@
     void setSeeds(std::vector<core::VmId> seeds) { replica_.setSeeds(std::move(seeds)); }
 
     [[nodiscard]] const core::Replica &replica() const { return replica_; }
+    // Size of the snapshot and of the payload of the entries that were recovered from the disk.
+    [[nodiscard]] std::uint64_t recoveredBytes() const { return recoveredBytes_; }
     [[nodiscard]] bool isLeader() const;
 
     // Whether this VM holds the leader lease, so that no other VM can be leader.
@@ -99,8 +101,8 @@
     const ReplicaHooks hooks_;
     BootClock clock_;
     store::ReplicaStore store_; // after open(), used by the disk thread only
+    const std::uint64_t recoveredBytes_;
     core::Replica replica_;
-    core::SnapshotPtr recoveredSnapshot_; // loaded by start()
     core::Membership membership_; // last reported to hooks_
     std::deque<core::ReplicaInput> inputs_; // inputs received while isStepping_
     bool isStepping_ = false; // actions are being performed
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -54,12 +54,12 @@
     ReplicaHooks hooks;
     hooks.apply = [self](const std::string &payload) { self->apply(payload); };
     hooks.load = [self](const std::string &state) {
-        const net::Result<core::SiteData> data = net::decodeSiteData(state);
+        net::Result<core::SiteData> data = net::decodeSiteData(state);
         if (!data) {
             LogLine(self->log_, LogKind::Process).add("event", "bad_snapshot");
             std::_Exit(kExitStorage);
         }
-        self->state_ = core::SiteState(data.value());
+        self->state_ = core::SiteState(std::move(data.value()));
         self->announceState();
     };
     hooks.save = [self] { return net::encodeSiteData(self->state_.data()); };
@@ -202,6 +202,9 @@
     gauge("control_lease", driver_->hasLease() ? 1 : 0);
     gauge("control_term", replica.term());
     gauge("control_commit_index", replica.commitIndex());
+    gauge("control_log_bytes", replica.log().bytesAfter(replica.log().baseIndex()));
+    gauge("control_snapshot_bytes", replica.snapshot() ? replica.snapshot()->data.size() : 0);
+    gauge("control_recovered_bytes", driver_->recoveredBytes());
     gauge("control_members", replica.membership().members.size());
     gauge("control_voters", core::voterCount(replica.membership()));
     gauge("control_commands_total", appliedCommands_);
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -147,8 +147,10 @@
     core::RelayDirectory relayDirectory_;
     core::ColdEndpoints coldEndpoints_; // observed on all control VMs, for the next leader
     core::ColdGrantor coldGrantor_{core::kColdGrantLifetime}; // used by the leader
-    std::shared_ptr<const core::SiteTable> table_; // of the last valid document; null before
-    std::uint64_t tableVersion_ = 0; // of the last document that was decoded
+    // Services of the last valid document with a limit for cold endpoints. The other parts of a
+    // document, which may take megabytes, are not kept.
+    std::map<core::ServiceName, core::Service> limitedServices_;
+    std::uint64_t decodedVersion_ = 0; // of the last document that was decoded
     std::uint64_t coldEndpointsNow_ = 0; // for which the leader grants allowances
     std::unique_ptr<ReplicaDriver> driver_; // set by open()
     std::map<net::FrameLink *, Peer> incomingLinks_;
--- a/app/site_control_endpoints.cpp
+++ b/app/site_control_endpoints.cpp
@@ -112,29 +112,30 @@
 void SiteControl::evaluateColdEndpoints()
 {
     const core::ConfigDocument &document = state_.data().document;
-    if (document.version != tableVersion_) {
-        tableVersion_ = document.version;
-        if (auto config = decode_(document.bytes))
-            table_ = std::make_shared<const core::SiteTable>(std::move(config));
+    if (document.version != decodedVersion_) {
+        decodedVersion_ = document.version;
+        if (const auto config = decode_(document.bytes.value())) {
+            limitedServices_.clear();
+            for (const core::Service &service : config->services) {
+                if (service.coldPerSecond > 0)
+                    limitedServices_.emplace(service.name, service);
+            }
+        }
     }
     const core::Instant now = clock_.now();
     std::vector<core::ColdEndpointAllowance> cold;
     std::set<core::EndpointId> limited;
-    const bool hasLimit =
-            table_
-            && std::any_of(table_->config().services.begin(), table_->config().services.end(),
-                           [](const core::Service &service) { return service.coldPerSecond > 0; });
-    if (hasLimit) {
+    if (!limitedServices_.empty()) {
         for (const core::EndpointRecord &record : registry_.all()) {
-            const core::Service *service = table_->service(record.service);
-            const bool isLimited = service && service->coldPerSecond > 0
+            const auto service = limitedServices_.find(record.service);
+            const bool isLimited = service != limitedServices_.end()
                                    && record.state == core::EndpointRecordState::Ready;
             if (!isLimited)
                 continue;
             limited.insert(record.id);
             coldEndpoints_.observe(record, now, clock_.wallNow());
-            if (coldEndpoints_.isCold(record.id, service->coldStart + kColdMargin, now))
-                cold.push_back({record.id, core::coldParts(service->coldPerSecond)});
+            if (coldEndpoints_.isCold(record.id, service->second.coldStart + kColdMargin, now))
+                cold.push_back({record.id, core::coldParts(service->second.coldPerSecond)});
         }
     }
     coldEndpoints_.retain(limited);
--- a/app/site_control_operator.cpp
+++ b/app/site_control_operator.cpp
@@ -73,7 +73,7 @@
     const core::ConfigDocument &document = state_.data().document;
     if (document.version != 0) {
         answer.status = core::ControlStatus::Done;
-        answer.document = document.bytes;
+        answer.document = document.bytes.value();
     }
     callback(answer);
 }
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -202,7 +202,7 @@
     }
     const bool isNewConfig = message.data.document.version != state_.document.version;
     if (isNewConfig) {
-        auto config = decode_(message.data.document.bytes);
+        auto config = decode_(message.data.document.bytes.value());
         LogLine(log_, LogKind::Config)
                 .add("event", config ? "taken" : "unreadable")
                 .add("version", static_cast<std::int64_t>(message.data.document.version))
--- a/app/site_process.cpp
+++ b/app/site_process.cpp
@@ -2,6 +2,8 @@
 
 #include "app/site_process.h"
 
+#include <malloc.h>
+
 namespace fireflyroute::app {
 
 namespace {
@@ -13,6 +15,9 @@
 // Of readiness probes and scrapes, which have no body to speak of.
 constexpr net::RequestLimits kProbeLimits{16U << 10U, 16U << 10U};
 
+// Below the size of large configurations, and above that of all frequent allocations.
+constexpr int kLargeBlockBytes = 1 << 20;
+
 } // namespace
 
 net::GroupLimits callerBounds(const SiteSettings &settings)
@@ -36,6 +41,12 @@
     return {kProbeLimits};
 }
 
+void releaseLargeBlocks()
+{
+    // A value that is set stays; the default one rises to the largest block that was freed.
+    mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+}
+
 void logClosings(net::SessionGroup &group, StructuredLog &log)
 {
     group.onClosedForOthers = [&group, &log](const net::ClosedSession &closed) {
--- a/app/site_process.h
+++ b/app/site_process.h
@@ -75,6 +75,10 @@
 // Logs the connections of the group that are closed for the sake of others.
 void logClosings(net::SessionGroup &group, StructuredLog &log);
 
+// Has the allocator return each large block to the system as soon as it is freed. By default it
+// keeps the blocks that messages and snapshots with a large configuration take for a moment.
+void releaseLargeBlocks();
+
 // An entry. Caller traffic runs on the traffic thread, everything else on the control thread.
 template<SiteDialect Dialect>
 class EntryProcess
@@ -334,6 +338,7 @@
 
     Result<void> start()
     {
+        releaseLargeBlocks();
         BOOST_OUTCOME_TRY(control,
                           SiteControl::open(io_, settings_, log_, decodeConfigWith<Dialect>));
         control_ = std::move(control);
--- a/core/group/replica.cpp
+++ b/core/group/replica.cpp
@@ -125,6 +125,15 @@
                                                std::string(nameOf(CoreError::NotLeader))});
         return;
     }
+    if (!canHold(input)) {
+        for (const Proposal &proposal : input.proposals)
+            actions_.emplace_back(ProposalDone{proposal.id, ProposalOutcome::Refused,
+                                               "too much of the log is in no snapshot"});
+        // The others commit without this disk, so that one of them can go on.
+        if (writes_.durableIndex(log_.lastIndex()) < commit_)
+            handle(TransferLeadership{});
+        return;
+    }
     std::vector<LogEntry> entries;
     LogIndex index = log_.lastIndex();
     for (const Proposal &proposal : input.proposals) {
@@ -134,6 +143,16 @@
     appendAsLeader(std::move(entries));
 }
 
+// Whether the log may grow by the proposals. A single one is allowed whatever its size.
+bool Replica::canHold(const Propose &input) const
+{
+    const std::uint64_t uncovered = log_.bytesAfter(snapshotIndex());
+    std::uint64_t added = 0;
+    for (const Proposal &proposal : input.proposals)
+        added += proposal.payload.size();
+    return uncovered == 0 || uncovered + added <= config_.limits.maxUncoveredBytes;
+}
+
 void Replica::handle(const ChangeMembership &input)
 {
     const Result<void> changed = tryChange(input.change);
@@ -148,11 +167,14 @@
 {
     snapshotRequested_ = false;
     const LogIndex index = input.snapshot->meta.index;
-    if (snapshot_ && index <= snapshot_->meta.index)
+    if (index <= snapshotIndex())
         return;
     snapshot_ = input.snapshot;
-    if (index > config_.limits.retainedEntries)
-        log_.compactTo(index - config_.limits.retainedEntries);
+    log_.compactTo(
+            log_.baseToRetain(index, config_.limits.retainedEntries, config_.limits.retainedBytes));
+    if (role_ == ReplicaRole::Leader)
+        replaceUnusedSnapshots();
+    requestSnapshot(); // entries applied meanwhile may suffice for the next one
 }
 
 void Replica::becomeFollower(Term term, const std::optional<ReplicaId> &leader)
@@ -253,8 +275,11 @@
 
 void Replica::requestSnapshot()
 {
-    const LogIndex last = snapshot_ ? snapshot_->meta.index : 0;
-    if (snapshotRequested_ || applied_ < last + config_.limits.snapshotAfterEntries)
+    const ReplicaLimits &limits = config_.limits;
+    const std::uint64_t appliedBytes = log_.bytesAfter(snapshotIndex()) - log_.bytesAfter(applied_);
+    const bool isDue = applied_ >= snapshotIndex() + limits.snapshotAfterEntries
+                       || appliedBytes >= limits.snapshotAfterBytes;
+    if (snapshotRequested_ || !isDue)
         return;
     snapshotRequested_ = true;
     actions_.emplace_back(
--- a/core/group/replica.h
+++ b/core/group/replica.h
@@ -75,6 +75,8 @@
     [[nodiscard]] LogIndex commitIndex() const { return commit_; }
     [[nodiscard]] LogIndex appliedIndex() const { return applied_; }
     [[nodiscard]] const ReplicaLog &log() const { return log_; }
+    // The newest snapshot on disk; null if there is none.
+    [[nodiscard]] const SnapshotPtr &snapshot() const { return snapshot_; }
     [[nodiscard]] const Membership &membership() const { return log_.membership(); }
     [[nodiscard]] bool isTransferring() const { return transfer_.has_value(); }
 
@@ -126,6 +128,8 @@
     void applyCommitted();
     void completeProposals();
     void requestSnapshot();
+    [[nodiscard]] LogIndex snapshotIndex() const { return snapshot_ ? snapshot_->meta.index : 0; }
+    [[nodiscard]] bool canHold(const Propose &input) const;
 
     // Elections (replica_campaign.cpp).
     [[nodiscard]] bool isElectable() const;
@@ -161,6 +165,7 @@
     void sendHeartbeat(const ReplicaId &to, PeerProgress &peer);
     void sendSnapshotChunk(const ReplicaId &to, PeerProgress &peer);
     void replicate();
+    void replaceUnusedSnapshots();
     void commitByCounting();
     void recordPeerReply(PeerProgress &peer, std::uint64_t round);
     void receive(const ReplicaMessage &message, const AppendReply &body);
--- a/core/group/replica_actions.h
+++ b/core/group/replica_actions.h
@@ -36,7 +36,7 @@
 struct Proposal
 {
     ProposalId id{0};
-    std::string payload;
+    SharedBytes payload;
 };
 
 // Commands to append to the log, in order. Each command gets its own ProposalDone.
--- a/core/group/replica_config.h
+++ b/core/group/replica_config.h
@@ -29,10 +29,20 @@
     std::size_t maxBatchEntries = 512;
     std::size_t maxBatchBytes = 1U << 20U; // payload of one append request
     std::size_t maxInFlightBatches = 8; // per member
+    // No further batch is sent to a member while as much payload is in flight to it.
+    std::size_t maxInFlightBytes = 8U << 20U;
     std::size_t snapshotChunkBytes = 256U << 10U;
-    LogIndex snapshotAfterEntries = 10'000; // number of applied entries between two snapshots
-    // Entries covered by the newest snapshot that stay in memory for lagging members.
+    // A snapshot is taken once as many entries, or as much payload, have been applied since the
+    // last one.
+    LogIndex snapshotAfterEntries = 10'000;
+    std::uint64_t snapshotAfterBytes = 64U << 20U;
+    // Entries covered by the newest snapshot that stay in memory for lagging members, and their
+    // payload.
     LogIndex retainedEntries = 1'000;
+    std::uint64_t retainedBytes = 32U << 20U;
+    // Proposals are refused if the payload that no snapshot covers would exceed this. It does so
+    // only while entries are not committed or the disk does not keep up.
+    std::uint64_t maxUncoveredBytes = 256U << 20U;
     LogIndex maxCaughtUpLag = 64; // largest distance to the commit index of a caught-up learner
 };
 
--- a/core/group/replica_leader.cpp
+++ b/core/group/replica_leader.cpp
@@ -77,7 +77,9 @@
 
 void Replica::sendEntries(const ReplicaId &to, PeerProgress &peer)
 {
-    while (peer.canSend(config_.limits.maxInFlightBatches) && peer.next <= log_.lastIndex()) {
+    const ReplicaLimits &limits = config_.limits;
+    while (peer.canSend(limits.maxInFlightBatches, limits.maxInFlightBytes)
+           && peer.next <= log_.lastIndex()) {
         const LogIndex previous = peer.next - 1;
         if (previous < log_.baseIndex()) {
             peer.startSnapshot(snapshot_);
@@ -85,8 +87,11 @@
             return;
         }
         std::vector<LogEntry> entries =
-                log_.slice(peer.next, config_.limits.maxBatchEntries, config_.limits.maxBatchBytes);
-        peer.recordSent(entries.back().index);
+                log_.slice(peer.next, limits.maxBatchEntries, limits.maxBatchBytes);
+        std::size_t bytes = 0;
+        for (const LogEntry &entry : entries)
+            bytes += entry.payload.size();
+        peer.recordSent(entries.back().index, bytes);
         send(to,
              AppendRequest{previous, *log_.termAt(previous), std::move(entries), commit_, round_});
     }
@@ -108,6 +113,16 @@
         sendEntries(id, peer);
 }
 
+// Members that are away would otherwise hold an old snapshot each.
+void Replica::replaceUnusedSnapshots()
+{
+    for (auto &[id, peer] : peers_.peers()) {
+        const bool isSilent = now_ - peer.lastReplyAt >= config_.timing.electionMax;
+        if (peer.mode == ProgressMode::Snapshot && isSilent)
+            peer.startSnapshot(snapshot_);
+    }
+}
+
 // Only entries of the current term are committed by counting copies; this also commits all entries
 // before them.
 void Replica::commitByCounting()
--- a/core/group/replica_log.cpp
+++ b/core/group/replica_log.cpp
@@ -45,6 +45,25 @@
     return result;
 }
 
+std::uint64_t ReplicaLog::bytesAfter(LogIndex index) const
+{
+    if (index >= lastIndex())
+        return 0;
+    const std::uint64_t before =
+            index == baseIndex_ ? baseBytes_ : endBytes_[index - baseIndex_ - 1];
+    return endBytes_.back() - before;
+}
+
+LogIndex ReplicaLog::baseToRetain(LogIndex index, LogIndex maxEntries, std::uint64_t maxBytes) const
+{
+    const std::uint64_t bytesBehind = bytesAfter(index);
+    LogIndex base = index;
+    while (base > baseIndex_ && index - base < maxEntries
+           && bytesAfter(base - 1) - bytesBehind <= maxBytes)
+        --base;
+    return base;
+}
+
 LogIndex ReplicaLog::lastBelowTerm(LogIndex from, Term term) const
 {
     LogIndex index = std::min(from, lastIndex());
@@ -57,6 +76,7 @@
 {
     if (entry.kind == EntryKind::Membership)
         memberships_[entry.index] = entry.membership;
+    endBytes_.push_back((endBytes_.empty() ? baseBytes_ : endBytes_.back()) + entry.payload.size());
     entries_.push_back(std::move(entry));
 }
 
@@ -64,6 +84,7 @@
 {
     memberships_.erase(memberships_.lower_bound(index), memberships_.end());
     entries_.resize(index - baseIndex_ - 1);
+    endBytes_.resize(entries_.size());
 }
 
 void ReplicaLog::compactTo(LogIndex index)
@@ -74,8 +95,10 @@
     const Membership membership = membershipAt(index);
     memberships_.erase(memberships_.begin(), memberships_.upper_bound(index));
     memberships_.emplace(index, membership);
-    entries_.erase(entries_.begin(),
-                   entries_.begin() + static_cast<std::ptrdiff_t>(index - baseIndex_));
+    const auto count = static_cast<std::ptrdiff_t>(index - baseIndex_);
+    baseBytes_ = endBytes_[index - baseIndex_ - 1];
+    entries_.erase(entries_.begin(), entries_.begin() + count);
+    endBytes_.erase(endBytes_.begin(), endBytes_.begin() + count);
     baseIndex_ = index;
     baseTerm_ = term;
 }
@@ -84,7 +107,9 @@
 {
     baseIndex_ = base.index;
     baseTerm_ = base.term;
+    baseBytes_ = 0;
     entries_.clear();
+    endBytes_.clear();
     memberships_.clear();
     memberships_.emplace(base.index, base.membership);
 }
--- a/core/group/replica_log.h
+++ b/core/group/replica_log.h
@@ -37,6 +37,14 @@
     [[nodiscard]] std::vector<LogEntry> slice(LogIndex first, std::size_t maxEntries,
                                               std::size_t maxBytes) const;
 
+    // Payload of the entries after `index`, which is at least the base index.
+    [[nodiscard]] std::uint64_t bytesAfter(LogIndex index) const;
+
+    // Returns the base index that keeps at most `maxEntries` entries up to `index`, and at most
+    // `maxBytes` of payload.
+    [[nodiscard]] LogIndex baseToRetain(LogIndex index, LogIndex maxEntries,
+                                        std::uint64_t maxBytes) const;
+
     // Returns the largest index, at most `from`, of an entry whose term is below `term`, or the
     // base index if there is none.
     [[nodiscard]] LogIndex lastBelowTerm(LogIndex from, Term term) const;
@@ -56,6 +64,9 @@
     LogIndex baseIndex_ = 0;
     Term baseTerm_ = 0;
     std::deque<LogEntry> entries_; // entries_[i].index == baseIndex_ + 1 + i
+    // endBytes_[i] - baseBytes_ is the payload of the entries up to entries_[i].
+    std::deque<std::uint64_t> endBytes_;
+    std::uint64_t baseBytes_ = 0;
     std::map<LogIndex, Membership> memberships_; // never empty; the first is at the base index
 };
 
--- a/core/group/replica_progress.cpp
+++ b/core/group/replica_progress.cpp
@@ -32,20 +32,20 @@
 
 } // namespace
 
-bool PeerProgress::canSend(std::size_t maxInFlight) const
+bool PeerProgress::canSend(std::size_t maxBatches, std::size_t maxBytes) const
 {
     switch (mode) {
     case ProgressMode::Probe:
         return !probeInFlight;
     case ProgressMode::Replicate:
-        return inFlight.size() < maxInFlight;
+        return inFlight.size() < maxBatches && inFlightBytes < maxBytes;
     case ProgressMode::Snapshot:
         return false;
     }
     return false;
 }
 
-void PeerProgress::recordSent(LogIndex last)
+void PeerProgress::recordSent(LogIndex last, std::size_t bytes)
 {
     if (mode == ProgressMode::Probe) {
         probeInFlight = true;
@@ -53,7 +53,8 @@
     }
     if (last < next)
         return;
-    inFlight.push_back(last);
+    inFlight.push_back({last, bytes});
+    inFlightBytes += bytes;
     next = last + 1;
 }
 
@@ -61,8 +62,10 @@
 {
     match = std::max(match, index);
     next = std::max(next, match + 1);
-    while (!inFlight.empty() && inFlight.front() <= match)
+    while (!inFlight.empty() && inFlight.front().last <= match) {
+        inFlightBytes -= inFlight.front().bytes;
         inFlight.pop_front();
+    }
     if (mode == ProgressMode::Snapshot && match < snapshot->meta.index)
         return;
     if (mode != ProgressMode::Replicate)
@@ -81,7 +84,7 @@
     next = std::max(match + 1, std::min(rejected, hint + 1));
     mode = ProgressMode::Probe;
     probeInFlight = false;
-    inFlight.clear();
+    clearInFlight();
     return true;
 }
 
@@ -90,7 +93,13 @@
     mode = ProgressMode::Snapshot;
     snapshot = std::move(toSend);
     snapshotOffset = 0;
+    clearInFlight();
+}
+
+void PeerProgress::clearInFlight()
+{
     inFlight.clear();
+    inFlightBytes = 0;
 }
 
 void ProgressTable::updateMembers(const Membership &membership, const ReplicaId &self,
--- a/core/group/replica_progress.h
+++ b/core/group/replica_progress.h
@@ -30,6 +30,13 @@
     };
 };
 
+// A batch of entries in flight to a member.
+struct SentBatch
+{
+    LogIndex last = 0; // index of its last entry
+    std::size_t bytes = 0; // of payload
+};
+
 // Replication progress of one member.
 struct PeerProgress
 {
@@ -37,7 +44,8 @@
     LogIndex match = 0; // last matching index on the member's disk; never decreases
     LogIndex next = 1; // index of the next entry to send; always above match
     bool probeInFlight = false;
-    std::deque<LogIndex> inFlight; // last index of each batch in flight, increasing
+    std::deque<SentBatch> inFlight; // in the order of their entries
+    std::size_t inFlightBytes = 0; // of all batches in flight
     Instant lastReplyAt; // time of the last reply, or the start of the leadership
     std::optional<Instant> confirmedAt; // start of the newest round that the member confirmed
     std::uint64_t confirmedRound = 0;
@@ -46,10 +54,10 @@
     Instant chunkSentAt; // time of the last sent chunk
 
     // Returns whether another batch may be sent now.
-    [[nodiscard]] bool canSend(std::size_t maxInFlight) const;
+    [[nodiscard]] bool canSend(std::size_t maxBatches, std::size_t maxBytes) const;
 
-    // Records that entries up to `last` were sent.
-    void recordSent(LogIndex last);
+    // Records that entries up to `last`, with so many bytes of payload, were sent.
+    void recordSent(LogIndex last, std::size_t bytes);
 
     // Records that the member's disk matches the leader's log up to `index`.
     void recordMatch(LogIndex index);
@@ -59,6 +67,9 @@
     bool recordRejection(LogIndex rejected, LogIndex hint);
 
     void startSnapshot(SnapshotPtr toSend);
+
+private:
+    void clearInFlight();
 };
 
 class ProgressTable
--- a/core/group/replication_types.h
+++ b/core/group/replication_types.h
@@ -9,6 +9,7 @@
 #ifndef FIREFLYROUTE_CORE_GROUP_REPLICATION_TYPES_H
 #define FIREFLYROUTE_CORE_GROUP_REPLICATION_TYPES_H
 
+#include "core/common/shared_bytes.h"
 #include "core/common/types.h"
 
 #include <array>
@@ -86,7 +87,7 @@
     LogIndex index = 0;
     Term term = 0;
     EntryKind kind = EntryKind::Noop;
-    std::string payload; // opaque bytes; used by commands only
+    SharedBytes payload; // opaque; used by commands only
     Membership membership; // used by membership entries only
 
     bool operator==(const LogEntry &) const = default;
--- a/core/group/testing/replica_faults_test.cpp
+++ b/core/group/testing/replica_faults_test.cpp
@@ -2,6 +2,7 @@
 
 #define BOOST_TEST_MODULE replica_faults
 #include "core/group/testing/replica_harness.h"
+#include "core/group/testing/single_replica.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,72 +12,6 @@
 namespace {
 
 constexpr std::uint64_t kSeed = 20;
-const Instant kStart{1h};
-const ReplicaId kSelf = ReplicaHarness::vmId(0);
-const ReplicaId kPeer = ReplicaHarness::vmId(1);
-const ReplicaId kSecondPeer = ReplicaHarness::vmId(2);
-
-Membership threeVoters()
-{
-    return Membership{{{kSelf, MemberRole::Voter},
-                       {kPeer, MemberRole::Voter},
-                       {kSecondPeer, MemberRole::Voter}}};
-}
-
-// A single replica that is driven message by message.
-struct SingleReplica
-{
-    explicit SingleReplica(RecoveredReplica recovered = newGroup(threeVoters()))
-        : replica(ReplicaConfig{.self = kSelf}, std::move(recovered), std::minstd_rand(kSeed),
-                  kStart)
-    {}
-
-    void step(const ReplicaInput &input)
-    {
-        sent.clear();
-        for (const ReplicaAction &action : replica.step(input, now)) {
-            if (const auto *message = std::get_if<SendMessage>(&action))
-                sent.push_back(message->message);
-            if (const auto *write = std::get_if<WriteHardState>(&action))
-                lastWrite = write->token;
-            if (const auto *write = std::get_if<WriteEntries>(&action))
-                lastWrite = write->token;
-        }
-    }
-
-    void receive(const ReplicaId &from, Term term, MessageBody body)
-    {
-        step(MessageReceived{ReplicaMessage{GroupId{0}, from, kSelf, term, std::move(body)}});
-    }
-
-    void sync() { step(SyncCompleted{lastWrite}); }
-
-    // Lets the election timeout of the replica expire and makes it win the election of the next
-    // term with the vote of kPeer.
-    void becomeLeader()
-    {
-        now = replica.nextDeadline();
-        step(Tick{});
-        receive(kPeer, replica.term(), VoteReply{.preVote = true, .granted = true});
-        sync();
-        receive(kPeer, replica.term(), VoteReply{.preVote = false, .granted = true});
-    }
-
-    // Returns the number of messages of type Body that the last step sent.
-    template<typename Body>
-    [[nodiscard]] std::size_t countSent() const
-    {
-        return static_cast<std::size_t>(
-                std::count_if(sent.begin(), sent.end(), [](const ReplicaMessage &message) {
-                    return std::holds_alternative<Body>(message.body);
-                }));
-    }
-
-    Replica replica;
-    Instant now = kStart + 2s; // after the time in which a restarted replica refuses votes
-    WriteToken lastWrite = 0;
-    std::vector<ReplicaMessage> sent;
-};
 
 LogEntry command(LogIndex index, Term term)
 {
--- a/core/group/testing/replica_harness.h
+++ b/core/group/testing/replica_harness.h
@@ -43,7 +43,7 @@
         applied = entry.index;
         const auto kind = static_cast<std::size_t>(entry.kind);
         hash = std::hash<std::string>()(
-                fmt::format("{} {} {} {}", hash, entry.term, kind, entry.payload));
+                fmt::format("{} {} {} {}", hash, entry.term, kind, entry.payload.value()));
     }
 
     [[nodiscard]] std::string save() const { return fmt::format("{}", hash); }
@@ -222,10 +222,11 @@
             step(*to, MessageReceived{message});
     }
 
-    void propose(FakeVm &vm)
+    // Proposes a command of at least `minBytes`.
+    void propose(FakeVm &vm, std::size_t minBytes = 0)
     {
         const ProposalId id{++lastProposal_};
-        proposedPayloads_[id] = fmt::format("command {}", lastProposal_);
+        proposedPayloads_[id] = fmt::format("command {:<{}}", lastProposal_, minBytes);
         step(vm, Propose{{Proposal{id, proposedPayloads_[id]}}});
     }
 
@@ -337,7 +338,7 @@
                     recorded->second == vm.state.hash,
                     fmt::format("{} applied a different entry {}", vm.id.vm.value(), entry.index));
             if (isNew && entry.kind == EntryKind::Command)
-                commitIndexes_.emplace(entry.payload, entry.index);
+                commitIndexes_.emplace(entry.payload.value(), entry.index);
         }
     }
 
--- a/core/site/site_state.h
+++ b/core/site/site_state.h
@@ -14,6 +14,7 @@
 #define FIREFLYROUTE_CORE_SITE_SITE_STATE_H
 
 #include "core/common/clock.h"
+#include "core/common/shared_bytes.h"
 #include "core/common/types.h"
 
 #include <array>
@@ -29,7 +30,7 @@
 struct ConfigDocument
 {
     std::uint64_t version = 0; // 0 before the first document
-    std::string bytes;
+    SharedBytes bytes;
 
     bool operator==(const ConfigDocument &) const = default;
 };
--- a/core/testing/site_state_test.cpp
+++ b/core/testing/site_state_test.cpp
@@ -40,10 +40,10 @@
     state.apply(PutDocument{{7, "seven"}});
     state.apply(PutDocument{{5, "five"}});
     state.apply(PutDocument{{7, "another seven"}});
-    BOOST_TEST(state.data().document.bytes == "seven");
+    BOOST_TEST(state.data().document.bytes.value() == "seven");
     BOOST_TEST(state.data().revision == 1U);
     state.apply(PutDocument{{9, "nine"}});
-    BOOST_TEST(state.data().document.bytes == "nine");
+    BOOST_TEST(state.data().document.bytes.value() == "nine");
     BOOST_TEST(state.data().revision == 2U);
 }
 
--- a/net/frame_link.cpp
+++ b/net/frame_link.cpp
@@ -31,6 +31,9 @@
 // Limit of the bytes that are queued for a slow peer.
 constexpr std::size_t kMaxQueuedBytes = 24U << 20U;
 
+// The buffer of received bytes is released if a large frame has left it with more than this.
+constexpr std::size_t kMaxIdleBufferBytes = 256U << 10U;
+
 constexpr std::chrono::milliseconds kConnectTimeout{700};
 constexpr std::chrono::milliseconds kReconnectDelay{200};
 
@@ -153,13 +156,16 @@
         }
         if (receivedBytes_.size() - offset - kHeaderBytes < size)
             break;
-        const std::string frame = receivedBytes_.substr(offset + kHeaderBytes, size);
+        const std::string_view frame =
+                std::string_view(receivedBytes_).substr(offset + kHeaderBytes, size);
         offset += kHeaderBytes + size;
         handlers_.onFrame(*this, frame);
         if (!open_ || generation_ != generation)
             return;
     }
     receivedBytes_.erase(0, offset);
+    if (receivedBytes_.capacity() > kMaxIdleBufferBytes && receivedBytes_.size() < kReadBufferBytes)
+        receivedBytes_.shrink_to_fit();
 }
 
 void FrameLink::send(std::string_view frame)
@@ -195,6 +201,7 @@
                           if (self->generation_ != generation || !self->open_)
                               return;
                           self->writing_ = false;
+                          self->bytesInWrite_ = {};
                           if (error)
                               self->disconnect();
                           else if (!self->queuedBytes_.empty())
@@ -212,6 +219,7 @@
 {
     open_ = false;
     ++generation_;
+    queuedBytes_ = {};
     error_code ignored;
     socket_.close(ignored);
     if (stopped_)
--- a/net/frame_link.h
+++ b/net/frame_link.h
@@ -31,7 +31,7 @@
 struct FrameHandlers
 {
     std::function<void(FrameLink &)> onConnected;
-    std::function<void(FrameLink &, std::string_view)> onFrame;
+    std::function<void(FrameLink &, std::string_view)> onFrame; // valid during the call
     std::function<void(FrameLink &)> onDisconnected;
 };
 
--- a/net/replication_json.cpp
+++ b/net/replication_json.cpp
@@ -157,7 +157,7 @@
     value["t"] = jsonNumber(entry.term);
     value["kind"] = jsonString(nameOf(entry.kind));
     if (entry.kind == core::EntryKind::Command)
-        value["data"] = encodeBase64(entry.payload);
+        value["data"] = encodeBase64(entry.payload.value());
     if (entry.kind == core::EntryKind::Membership)
         value["members"] = membershipToJson(entry.membership);
     return value;
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -34,6 +34,21 @@
     id = Identifier<Tag>(value);
 }
 
+// Encoded like a string.
+template<class Archive>
+void save(Archive &archive, const SharedBytes &bytes)
+{
+    archive(bytes.value());
+}
+
+template<class Archive>
+void load(Archive &archive, SharedBytes &bytes)
+{
+    std::string value;
+    archive(value);
+    bytes = SharedBytes(std::move(value));
+}
+
 template<class Archive>
 void serialize(Archive &archive, ReplicaId &id)
 {
@@ -230,8 +245,9 @@
 void save(Archive &archive, const StateUpdate &message)
 {
     const SiteData &data = message.data;
-    archive(data.revision, data.document.version, fireflyroute::net::compress(data.document.bytes),
-            data.rollouts, message.documentOmitted);
+    archive(data.revision, data.document.version,
+            fireflyroute::net::compress(data.document.bytes.value()), data.rollouts,
+            message.documentOmitted);
     if (!data.evacuations.empty())
         archive(data.evacuations);
 }
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -61,7 +61,7 @@
     BOOST_TEST(hexOf(net::encodeSiteData(siteData()))
                == "01" + positionHex + "0d000000000000007b2276657273696f6e223a377d" + kRolloutsHex);
     core::StateUpdate update{siteData(), true};
-    update.data.document.bytes.clear();
+    update.data.document.bytes = {};
     BOOST_TEST(hexOf(net::encodeMessage(update))
                == "0103000000" + positionHex
                           + "0800000000000000"
@@ -236,7 +236,7 @@
     constexpr std::size_t kMaxBytes = 250'000; // takes 0.2 s at 10 Mbit/s
     std::mt19937 random(1);
     core::StateUpdate update{siteData()};
-    std::string &document = update.data.document.bytes;
+    std::string document;
     for (std::size_t i = 0; i < kRoutes; ++i) {
         document += fmt::format(
                 R"({{"name":"r-{:07x}","host":"nobo35.example","pathPrefix":"/{:08x}/",)"
@@ -245,6 +245,7 @@
                 R"("maxAttempts":3,"public":false,"sticky":true,"resumable":true}},)",
                 random() & 0xfffffffU, random());
     }
+    update.data.document.bytes = document;
     const std::string bytes = net::encodeMessage(update);
     BOOST_TEST(document.size() > 1'000'000U);
     BOOST_TEST(bytes.size() < kMaxBytes);
--- a/store/files.cpp
+++ b/store/files.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <utility>
 
@@ -54,6 +55,9 @@
         return failure(StoreError::CannotOpen, path.string());
     const FileHandle handle(fd);
     std::string bytes;
+    struct stat status = {};
+    if (::fstat(fd, &status) == 0)
+        bytes.reserve(static_cast<std::size_t>(status.st_size));
     std::array<char, 65536> chunk{};
     while (true) {
         const ssize_t count = ::read(fd, chunk.data(), chunk.size());
--- a/store/group_replay.cpp
+++ b/store/group_replay.cpp
@@ -50,15 +50,24 @@
         const bool replacesAll = entry.index < first;
         entries_.resize(replacesAll ? 0 : entry.index - first);
     }
+    if (snapshot_ && entry.index <= snapshot_->meta.index) {
+        entry.payload = {};
+        entry.membership = {};
+    }
     entries_.push_back(std::move(entry));
     return core::outcome::success();
 }
 
-Result<RecoveredGroup> GroupReplay::finish(core::SnapshotPtr snapshot)
+std::optional<core::LogIndex> GroupReplay::lastIndex() const
+{
+    return entries_.empty() ? std::nullopt : std::optional(entries_.back().index);
+}
+
+Result<RecoveredGroup> GroupReplay::finish()
 {
     RecoveredGroup group;
     group.state.hardState = std::move(hardState_);
-    group.state.snapshot = std::move(snapshot);
+    group.state.snapshot = snapshot_;
     if (entries_.empty())
         return group;
     const core::SnapshotMeta snapshotMeta =
--- a/store/group_replay.h
+++ b/store/group_replay.h
@@ -1,8 +1,10 @@
 // Rebuilds the state of one group from its journal records and its snapshot.
 //
-//   GroupReplay replay;
+//   GroupReplay replay(snapshot);
 //   replay.add(record);                       // each record of the group, in journal order
-//   Result<RecoveredGroup> group = replay.finish(snapshot);
+//   Result<RecoveredGroup> group = replay.finish();
+//
+// Of the entries that the snapshot covers, only the positions are kept.
 
 #ifndef FIREFLYROUTE_STORE_GROUP_REPLAY_H
 #define FIREFLYROUTE_STORE_GROUP_REPLAY_H
@@ -10,6 +12,9 @@
 #include "core/group/replica_config.h"
 #include "store/replica_codec.h"
 
+#include <optional>
+#include <utility>
+
 namespace fireflyroute::store {
 
 struct RecoveredGroup
@@ -23,12 +28,21 @@
 class GroupReplay
 {
 public:
+    // `snapshot` is null if the group has none.
+    explicit GroupReplay(core::SnapshotPtr snapshot)
+        : snapshot_(std::move(snapshot))
+    {}
+
     Result<void> add(const JournalRecord &record);
-    [[nodiscard]] Result<RecoveredGroup> finish(core::SnapshotPtr snapshot);
+    [[nodiscard]] Result<RecoveredGroup> finish();
+
+    // Index of the newest entry that was added.
+    [[nodiscard]] std::optional<core::LogIndex> lastIndex() const;
 
 private:
     Result<void> addEntry(core::LogEntry entry);
 
+    core::SnapshotPtr snapshot_;
     core::HardState hardState_;
     std::vector<core::LogEntry> entries_; // contiguous
 };
--- a/store/journal.h
+++ b/store/journal.h
@@ -82,6 +82,9 @@
         return core::outcome::success();
     }
 
+    // Size of the records that are not synced yet.
+    [[nodiscard]] std::uint64_t unsyncedBytes() const { return unsynced_.size(); }
+
     // Size of the file, without records that are not synced yet.
     [[nodiscard]] std::uint64_t syncedBytes() const { return syncedBytes_; }
 
--- a/store/replica_codec.cpp
+++ b/store/replica_codec.cpp
@@ -93,7 +93,7 @@
     writer.u64(entry.index);
     writer.u64(entry.term);
     writer.u8(static_cast<std::uint8_t>(entry.kind));
-    writer.text(entry.payload);
+    writer.text(entry.payload.value());
     writeMembership(writer, entry.membership);
     return JournalRecord{RecordType::Entry, writer.release()};
 }
--- a/store/replica_store.h
+++ b/store/replica_store.h
@@ -34,6 +34,9 @@
 {
     // A new segment starts once the current one exceeds this size.
     std::uint64_t segmentBytes = 64U << 20U;
+    // Entries that wait to be written are written before others are added to them, once they exceed
+    // this size.
+    std::uint64_t frameBytes = 4U << 20U;
 };
 
 template<Files F>
@@ -73,6 +76,9 @@
     // Writes entries. They replace all entries of the group from the first entry's index on.
     Result<void> writeEntries(core::GroupId group, const std::vector<core::LogEntry> &entries)
     {
+        if (journal_->unsyncedBytes() > limits_.frameBytes) {
+            BOOST_OUTCOME_TRYV(sync());
+        }
         for (const core::LogEntry &entry : entries) {
             BOOST_OUTCOME_TRYV(journal_->append(encodeEntry(group, entry)));
             recordEntry(segments_.back(), group, entry.index);
@@ -239,18 +245,19 @@
         const std::optional<core::GroupId> group = decodeGroup(record);
         if (!group)
             return StoreFailure{StoreError::Corrupt, "record without a group number"};
-        if (record.type == RecordType::Entry) {
-            if (const std::optional<core::LogEntry> entry = decodeEntry(record))
-                recordEntry(segments_.back(), *group, entry->index);
-        }
-        return replays[*group].add(record);
+        GroupReplay &replay =
+                replays.try_emplace(*group, groups_[*group].recovered.snapshot).first->second;
+        BOOST_OUTCOME_TRYV(replay.add(record));
+        if (record.type == RecordType::Entry)
+            recordEntry(segments_.back(), *group, *replay.lastIndex());
+        return core::outcome::success();
     }
 
     Result<void> finishReplays(std::map<core::GroupId, GroupReplay> &replays)
     {
         for (auto &[id, replay] : replays) {
             Group &group = groups_[id];
-            BOOST_OUTCOME_TRY(recovered, replay.finish(group.recovered.snapshot));
+            BOOST_OUTCOME_TRY(recovered, replay.finish());
             group.recovered = std::move(recovered.state);
             group.hardState = group.recovered.hardState;
             if (recovered.needsReset) {
--- a/store/testing/replica_store_test.cpp
+++ b/store/testing/replica_store_test.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint32_t kGroupCount = 2;
 constexpr core::Term kContinuationTerm = 1'000'000; // greater than all terms of the workload
 constexpr std::uint64_t kCrashesPerChange = 8; // each keeps another part of the unsynced bytes
-constexpr StoreLimits kSmallSegments{.segmentBytes = 600};
+constexpr StoreLimits kSmallSegments{.segmentBytes = 600, .frameBytes = 200};
 
 // State of a group: either recovered from the store, or expected by the workload, which applies the
 // same operations to it as to the store.
@@ -104,6 +104,7 @@
     bool writeEntries(FakeStore &store, core::GroupId group)
     {
         GroupState &expectedGroup = current_[group];
+        unsyncedStates.push_back(current_); // what waits is written first if it is large
         const core::LogIndex last = expectedGroup.entries.empty()
                                             ? expectedGroup.snapshotIndex
                                             : expectedGroup.entries.rbegin()->first;
@@ -308,6 +309,21 @@
     BOOST_TEST(store.segmentCount() == 1U);
 }
 
+// Guards against batches of large entries that are in memory as a whole, as records and as a frame.
+BOOST_AUTO_TEST_CASE(large_entries_are_written_before_others_are_added)
+{
+    const FakeFiles files;
+    FakeStore store = FakeStore::open(kFolder, kFirstIncarnation, kSmallSegments, files).value();
+    const core::GroupId group{0};
+    for (core::LogIndex index = 1; index <= 20; ++index)
+        BOOST_TEST(store.writeEntries(group, {makeEntry(index, 1)}).has_value());
+    BOOST_TEST(store.segmentCount() > 1U);
+    std::mt19937_64 rng(1);
+    files.state->crash(rng);
+    FakeStore reopened = FakeStore::open(kFolder, kLaterIncarnation, kSmallSegments, files).value();
+    BOOST_TEST(recoveredGroup(reopened, group).entries.size() >= 16U);
+}
+
 BOOST_AUTO_TEST_CASE(data_folder_keeps_its_incarnation_and_a_new_folder_gets_a_new_one)
 {
     const FakeFiles files;
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -417,7 +417,8 @@
                  "site_seeds": ",".join(item + ":8229" for item in self.seeds or self.control[:3]),
                  **self.memory_flags(), **self.more_flags}
         if ip in self.control:
-            flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip))
+            flags.update(site_control=ip + ":8229", site_data_dir=os.path.join(self.folder, ip),
+                         site_metrics=ip + ":9464")
         else:
             flags.update(site_callers=ip + ":8227", site_readiness=ip + ":8220",
                          site_metrics=ip + ":9464", site_relay_port="7355")
@@ -559,7 +560,10 @@
         return call("GET", self.entries[entry] + ":8220", "/fireflyroute/ready")[0] == 200
 
     def entry_metric(self, name, entry=0):
-        text = call("GET", self.entries[entry] + ":9464", "/metrics")[2]
+        return self.metric(name, self.entries[entry])
+
+    def metric(self, name, ip):
+        text = call("GET", ip + ":9464", "/metrics")[2]
         return int(re.search(r"^fireflyroute_%s (\d+)$" % name, text, re.MULTILINE).group(1))
 
     def wait_until_served(self, *paths):
