Suspend a request that comes again by evidence against itself

Cause: a request was judged by the rule for shared parts, which asks for 20 answers to other requests after the fourth crash. A service whose endpoints are down because of that very request can't give them.

Each request now has a trait of its own. After four crashed endpoints without an answer to it, it is suspended at once on all entries (503), whatever the traffic. Heartbeats show meanwhile which endpoints did crash: then it is quarantined, else free again. Shared parts are judged as before, if different requests with them crash endpoints. Crashes that a suspended request explains don't count against others. A quarantine lasts while the request comes; one entry at a time lets a single request through, 10 s after it and then each 20 times later. What earlier builds don't know stands at the end of the two messages, where they ignore it.

--- a/app/proxy_request.h
+++ b/app/proxy_request.h
@@ -89,7 +89,8 @@
 
     void admit(core::Instant now);
     [[nodiscard]] std::vector<core::RequestTrait> traits() const;
-    [[nodiscard]] bool isQuarantined(core::Instant now) const;
+    [[nodiscard]] std::optional<core::QuarantinedTrait> checkQuarantine(core::Instant now);
+    void refuseQuarantined(const core::QuarantinedTrait &quarantined);
     void startAttempt();
     void send(const core::PickResult &pick, core::Instant now);
     [[nodiscard]] core::PickRequest makePickRequest(std::size_t model) const;
@@ -145,7 +146,7 @@
     void recordUnfinishedAnswer(core::Instant now);
     void recordAnswered();
     void failRequest(std::string_view cause);
-    void refuse(core::Refusal refusal);
+    void refuse(core::Refusal refusal, std::optional<core::Duration> retryAfter = {});
     void finish(std::string_view outcome, unsigned status);
     void recordLatency(std::string_view outcome, core::Instant now);
     [[nodiscard]] std::uint32_t rank() const; // of the account if set, otherwise of the route
--- a/app/proxy_request_admit.h
+++ b/app/proxy_request_admit.h
@@ -37,21 +37,37 @@
                           request_.target, *body_);
 }
 
+// Returns the quarantined trait because of which the request must not be sent now.
 template<TrafficDialect Dialect>
-bool ProxyRequest<Dialect>::isQuarantined(core::Instant now) const
+std::optional<core::QuarantinedTrait> ProxyRequest<Dialect>::checkQuarantine(core::Instant now)
 {
     if (!plane_.crashWatch.isActive())
-        return false;
-    const std::optional<core::RequestTrait> found =
-            plane_.crashWatch.findQuarantined(traits(), now);
-    if (!found)
-        return false;
-    LogLine(plane_.log, LogKind::Quarantine)
-            .add("event", "refused")
-            .add("id", meta_.id.value())
-            .add("trait", core::describe(std::vector{*found}))
-            .add("attempts", attemptTracker_.attemptCount());
-    return true;
+        return std::nullopt;
+    const std::optional<core::QuarantinedTrait> found =
+            plane_.crashWatch.checkQuarantine(traits(), now);
+    if (found) {
+        LogLine(plane_.log, LogKind::Quarantine)
+                .add("event", "refused")
+                .add("id", meta_.id.value())
+                .add("trait", core::describe(std::vector{*found}))
+                .add("remaining_ms", core::toMillis(found->remaining))
+                .add("attempts", attemptTracker_.attemptCount());
+    }
+    return found;
+}
+
+// A request that is only suspended and has not run may come again once it is clear whether it
+// crashed endpoints.
+template<TrafficDialect Dialect>
+void ProxyRequest<Dialect>::refuseQuarantined(const core::QuarantinedTrait &quarantined)
+{
+    if (responseStarted_)
+        failRequest("quarantined");
+    else if (quarantined.remaining <= core::CrashWatch::kMaxSuspension
+             && attemptTracker_.ran() == core::Executed::No)
+        refuse(core::Refusal::Suspended, quarantined.remaining);
+    else
+        refuse(core::Refusal::Quarantined);
 }
 
 } // namespace fireflyroute::app
--- a/app/proxy_request_choose.h
+++ b/app/proxy_request_choose.h
@@ -52,11 +52,8 @@
         failRequest("no time left");
         return;
     }
-    if (isQuarantined(now)) {
-        if (responseStarted_)
-            failRequest("quarantined");
-        else
-            refuse(core::Refusal::Quarantined);
+    if (const std::optional<core::QuarantinedTrait> quarantined = checkQuarantine(now)) {
+        refuseQuarantined(*quarantined);
         return;
     }
     const core::PickResult pick = pickEndpoint(model_, excludedEndpoints_, now);
--- a/app/proxy_request_end.h
+++ b/app/proxy_request_end.h
@@ -43,7 +43,7 @@
 }
 
 template<TrafficDialect Dialect>
-void ProxyRequest<Dialect>::refuse(core::Refusal refusal)
+void ProxyRequest<Dialect>::refuse(core::Refusal refusal, std::optional<core::Duration> retryAfter)
 {
     ++plane_.counts.refused;
     ++plane_.refusals[refusal];
@@ -51,10 +51,12 @@
             refusal == core::Refusal::NotReady || refusal == core::Refusal::NoEndpoint
             || refusal == core::Refusal::Evacuated || refusal == core::Refusal::NotExecuted
             || refusal == core::Refusal::Overloaded;
-    const core::Duration retryAfter =
-            refusal == core::Refusal::NotReady ? proxy::kRetryAfterNotReady : proxy::kRetryAfter;
+    if (isRetryable && !retryAfter) {
+        retryAfter = refusal == core::Refusal::NotReady ? proxy::kRetryAfterNotReady
+                                                        : proxy::kRetryAfter;
+    }
     const net::HttpResponseMessage response =
-            Dialect::encodeRefusal(refusal, isRetryable ? retryAfter : core::Duration::zero());
+            Dialect::encodeRefusal(refusal, retryAfter.value_or(core::Duration::zero()));
     session_->respond(response);
     finish(core::nameOf(refusal), response.status);
 }
--- a/app/proxy_request_resume.h
+++ b/app/proxy_request_resume.h
@@ -64,7 +64,8 @@
                                 && failure.error != net::ExchangeError::Malformed;
     if (mayHaveCrashed) {
         plane_.crashWatch.recordCrash(
-                {attempt_->endpoint.id, attempt_->endpoint.startedAtMs, service_, traits()});
+                {attempt_->endpoint.id, attempt_->endpoint.startedAtMs, service_, traits()},
+                plane_.clock.now());
     }
     if (!isEndpointAtFault) {
         // The relay's view may be newer than this entry's.
--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -91,6 +91,7 @@
     , settings_(settings)
     , log_(log)
     , decode_(std::move(decode))
+    , crashAttribution_(settings.heartbeatInterval)
     , workExchange_(kWorkReportLifetime)
     , relayDirectory_(settings.regions, kPathReportLifetime)
 {}
@@ -185,7 +186,7 @@
             .add("leader", changed.leader ? changed.leader->vm.value() : std::string());
     if (changed.role == core::ReplicaRole::Leader) {
         rolloutEvaluator_ = core::RolloutJudge();
-        crashAttribution_ = core::CrashAttribution();
+        crashAttribution_ = core::CrashAttribution(settings_.heartbeatInterval);
         relayDirectory_.forgetLists();
         coldGrantor_.recordElected(clock_.now());
     }
--- a/app/site_control_endpoints.cpp
+++ b/app/site_control_endpoints.cpp
@@ -3,6 +3,8 @@
 
 #include "app/site_control.h"
 
+#include "net/site_codec.h"
+
 #include <chrono>
 
 namespace fireflyroute::app {
@@ -50,6 +52,8 @@
 {
     if (change == core::RegistryChange::Outdated)
         return;
+    if (!record.unresponsive && record.state != core::EndpointRecordState::Removed)
+        crashAttribution_.recordHeartbeat(record.id, record.startedAtMs, clock_.now());
     const core::EndpointUpdate update{{record}};
     if (fromEndpoint)
         sendToControlVms(update);
@@ -94,6 +98,19 @@
     crashAttribution_.recordAnswers(message, now);
     for (const core::QuarantinedTrait &quarantined : message.quarantined)
         crashAttribution_.recordQuarantined(quarantined, now);
+    if (!driver_->hasLease())
+        return;
+    const std::vector<core::RequestTrait> trials =
+            crashAttribution_.grantTrials(message.refused, now);
+    if (trials.empty())
+        return;
+    LogLine(log_, LogKind::Quarantine)
+            .add("event", "trial")
+            .add("entry", peer.vm.value())
+            .add("traits", core::describe(trials));
+    core::QuarantineState state = crashAttribution_.state(now);
+    state.trials = trials;
+    peer.link->send(net::encodeMessage(state));
 }
 
 void SiteControl::evaluateCrashes()
--- a/core/calls/site_calls.h
+++ b/core/calls/site_calls.h
@@ -88,6 +88,7 @@
     NoEndpoint, // no endpoint is registered or usable
     Evacuated, // all endpoints are in evacuated data centres
     Overloaded,
+    Suspended, // it may have crashed endpoints, which is being verified; the request did not run
     Quarantined, // the request has crashed endpoints
     NotExecuted, // every endpoint that received the request stated that it did not run it
     EndpointFailed, // the request may have run
@@ -105,6 +106,7 @@
             EnumName{Refusal::NoEndpoint, "no_endpoint"},
             EnumName{Refusal::Evacuated, "evacuated"},
             EnumName{Refusal::Overloaded, "overloaded"},
+            EnumName{Refusal::Suspended, "suspended"},
             EnumName{Refusal::Quarantined, "quarantined"},
             EnumName{Refusal::NotExecuted, "not_run"},
             EnumName{Refusal::EndpointFailed, "endpoint_failed"},
--- a/core/quarantine/crash_watch.cpp
+++ b/core/quarantine/crash_watch.cpp
@@ -14,15 +14,15 @@
                                    std::string_view body)
 {
     std::vector<RequestTrait> traits;
-    traits.reserve(std::max<std::size_t>(prompt.size(), 1));
-    for (const PromptPart &part : prompt)
+    traits.reserve(prompt.size() + 1);
+    // The length prefixes distinguish different splits of the same bytes.
+    std::string identity = fmt::format("{}\n{}\n{}\n{}\n{}", account.value().size(),
+                                       account.value(), target.size(), target, body);
+    for (const PromptPart &part : prompt) {
         traits.push_back(RequestTrait{part.id});
-    if (traits.empty()) {
-        // The length prefixes distinguish different splits of the same bytes.
-        const std::string identity = fmt::format("{}\n{}\n{}\n{}\n{}", account.value().size(),
-                                                 account.value(), target.size(), target, body);
-        traits.push_back(RequestTrait{std::hash<std::string>()(identity)});
+        identity += fmt::format("\n{:x}", part.id);
     }
+    traits.push_back(RequestTrait{std::hash<std::string>()(identity)});
     return traits;
 }
 
@@ -46,30 +46,41 @@
     return describe(ids);
 }
 
-std::optional<RequestTrait> CrashWatch::findQuarantined(const std::vector<RequestTrait> &traits,
-                                                        Instant now) const
+std::optional<QuarantinedTrait> CrashWatch::checkQuarantine(const std::vector<RequestTrait> &traits,
+                                                            Instant now)
 {
+    std::vector<RequestTrait> trials;
     for (const RequestTrait trait : traits) {
         const auto found = quarantinedUntil_.find(trait);
-        if (found != quarantinedUntil_.end() && now < found->second)
-            return trait;
+        if (found == quarantinedUntil_.end() || now >= found->second)
+            continue;
+        const auto trial = trialUntil_.find(trait);
+        if (trial == trialUntil_.end() || now >= trial->second) {
+            refused_.insert(trait);
+            return QuarantinedTrait{trait, found->second - now};
+        }
+        trials.push_back(trait);
     }
+    for (const RequestTrait trait : trials)
+        trialUntil_.erase(trait);
     return std::nullopt;
 }
 
-void CrashWatch::recordCrash(EndpointCrash crash)
+void CrashWatch::recordCrash(EndpointCrash crash, Instant now)
 {
-    if (crashes_.size() < kMaxCrashes)
-        crashes_.push_back(std::move(crash));
+    if (crashes_.size() >= kMaxCrashes)
+        return;
+    for (const RequestTrait trait : crash.traits)
+        crashedAt_[trait] = now;
+    crashes_.push_back(std::move(crash));
 }
 
 void CrashWatch::recordAnswered(const ServiceName &service, const std::vector<RequestTrait> &traits)
 {
-    if (watched_.empty())
-        return;
-    ++answers_[service];
+    if (!watched_.empty())
+        ++answers_[service];
     for (const RequestTrait trait : traits) {
-        if (watched_.contains(trait))
+        if (watched_.contains(trait) || crashedAt_.contains(trait))
             answered_.insert(trait);
     }
 }
@@ -82,7 +93,12 @@
     answered_.clear();
     for (const auto &[service, count] : std::exchange(answers_, {}))
         report.answers.push_back({service, count});
+    report.refused.assign(refused_.begin(), refused_.end());
+    refused_.clear();
     std::erase_if(quarantinedUntil_, [now](const auto &item) { return item.second <= now; });
+    std::erase_if(trialUntil_, [now](const auto &item) { return item.second <= now; });
+    std::erase_if(crashedAt_,
+                  [now](const auto &item) { return item.second + kCrashMemory <= now; });
     if (now - quarantineReportedAt_ >= kQuarantineReportInterval) {
         quarantineReportedAt_ = now;
         for (const auto &[trait, until] : quarantinedUntil_)
@@ -94,6 +110,10 @@
 void CrashWatch::apply(const QuarantineState &state, Instant now)
 {
     watched_ = {state.watched.begin(), state.watched.end()};
+    for (const RequestTrait trait : state.lifted)
+        quarantinedUntil_.erase(trait);
+    for (const RequestTrait trait : state.trials)
+        trialUntil_[trait] = now + kTrialTime;
     for (const QuarantinedTrait &quarantined : state.quarantined) {
         Instant &until = quarantinedUntil_[quarantined.trait];
         until = std::max(until, now + quarantined.remaining);
--- a/core/quarantine/crash_watch.h
+++ b/core/quarantine/crash_watch.h
@@ -3,9 +3,8 @@
 // thread.
 //
 //   CrashWatch watch;
-//   watch.recordCrash({endpoint, startedAtMs, service, traits});     // ended without an answer
-//   watch.recordAnswered(service, traits);
-//   if (watch.findQuarantined(traits, now)) refuse
+//   watch.recordCrash({endpoint, startedAtMs, service, traits}, now);     // ended without an
+//   answer watch.recordAnswered(service, traits); if (watch.checkQuarantine(traits, now)) refuse
 //   send(watch.takeReport(now));                          // to the leader
 //   watch.apply(state, now);                              // from the leader
 //
@@ -28,7 +27,7 @@
 
 namespace fireflyroute::core {
 
-// Returns the traits of a request: the parts of its prompt or, without a prompt, one for what the
+// Returns the traits of a request: the parts of its prompt, and its own trait, for all that the
 // client account asks for.
 [[nodiscard]] std::vector<RequestTrait> traitsOf(const std::vector<PromptPart> &prompt,
                                                  const ClientAccountId &account,
@@ -44,17 +43,32 @@
     // Interval at which the quarantined traits are reported, for a new leader.
     static constexpr std::chrono::seconds kQuarantineReportInterval{1};
 
+    // Traits that are quarantined for longer are known to crash endpoints. Those for at most as
+    // long are only suspended, see core/quarantine/crash_attribution.h.
+    static constexpr std::chrono::seconds kMaxSuspension{10};
+
     // Limit of the crashes in one report.
     static constexpr std::size_t kMaxCrashes = 100;
 
+    // How long answers to requests with the traits of a crashed one are reported, whether or not
+    // the leader watches them: another attempt may be answered before it could.
+    static constexpr std::chrono::seconds kCrashMemory{5};
+
     // Whether any trait is quarantined or watched, so that the traits of a request are needed.
-    [[nodiscard]] bool isActive() const { return !watched_.empty() || !quarantinedUntil_.empty(); }
+    [[nodiscard]] bool isActive() const
+    {
+        return !watched_.empty() || !quarantinedUntil_.empty() || !crashedAt_.empty();
+    }
+
+    // How long a trial may be used. It is granted to one entry at a time.
+    static constexpr std::chrono::seconds kTrialTime{8};
 
-    // Returns the first quarantined trait.
-    [[nodiscard]] std::optional<RequestTrait>
-    findQuarantined(const std::vector<RequestTrait> &traits, Instant now) const;
+    // Returns a quarantined trait because of which a request with these traits has to be refused,
+    // or nothing. A request that is let through as a trial uses the trial up.
+    [[nodiscard]] std::optional<QuarantinedTrait>
+    checkQuarantine(const std::vector<RequestTrait> &traits, Instant now);
 
-    void recordCrash(EndpointCrash crash);
+    void recordCrash(EndpointCrash crash, Instant now);
     void recordAnswered(const ServiceName &service, const std::vector<RequestTrait> &traits);
 
     // Returns and clears the observations since the last call.
@@ -65,8 +79,11 @@
 private:
     std::set<RequestTrait> watched_; // answers to requests with these are reported
     std::map<RequestTrait, Instant> quarantinedUntil_;
+    std::map<RequestTrait, Instant> trialUntil_; // trials that are not used yet
+    std::set<RequestTrait> refused_; // quarantined traits of refused requests; not yet reported
     std::vector<EndpointCrash> crashes_; // not yet reported; at most kMaxCrashes
-    std::set<RequestTrait> answered_; // not yet reported; only watched ones
+    std::map<RequestTrait, Instant> crashedAt_; // traits of crashed requests, for kCrashMemory
+    std::set<RequestTrait> answered_; // not yet reported; only watched ones and those of crashedAt_
     std::map<ServiceName, std::uint32_t> answers_; // not yet reported, since traits are watched
     Instant quarantineReportedAt_;
 };
--- a/core/site/site_messages.h
+++ b/core/site/site_messages.h
@@ -120,7 +120,8 @@
     bool operator==(const PromptPrefixUpdate &) const = default;
 };
 
-// What requests have in common with others: a part of a prompt, or a hash of what is asked for.
+// What requests have in common with others: a part of a prompt, or, as their own trait, a hash of
+// what is asked for.
 enum class RequestTrait : std::uint64_t {};
 
 // A request was in flight, without the first part of an answer, on an endpoint that crashed.
@@ -129,7 +130,7 @@
     EndpointId endpoint;
     std::uint64_t startedAtMs = 0; // incarnation of the endpoint
     ServiceName service;
-    std::vector<RequestTrait> traits; // of the request
+    std::vector<RequestTrait> traits; // of the request; its own trait is the last
 
     bool operator==(const EndpointCrash &) const = default;
 };
@@ -157,20 +158,24 @@
     std::vector<RequestTrait> answered; // watched traits of answered requests
     std::vector<ServiceAnswers> answers; // number of answers while traits are watched
     std::vector<QuarantinedTrait> quarantined; // known to the entry; sent at longer intervals
+    std::vector<RequestTrait> refused; // quarantined traits of refused requests
 
     bool operator==(const CrashReport &) const = default;
 
     [[nodiscard]] bool isEmpty() const
     {
-        return crashes.empty() && answered.empty() && answers.empty() && quarantined.empty();
+        return crashes.empty() && answered.empty() && answers.empty() && quarantined.empty()
+               && refused.empty();
     }
 };
 
-// From the leader to all entries, after each change.
+// From the leader to all entries, after each change, and to one entry that gets a trial.
 struct QuarantineState
 {
     std::vector<RequestTrait> watched; // answers to requests with these are to be reported
     std::vector<QuarantinedTrait> quarantined;
+    std::vector<RequestTrait> lifted; // no longer quarantined
+    std::vector<RequestTrait> trials; // of each of these, the receiver may let one request through
 
     bool operator==(const QuarantineState &) const = default;
 };
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -330,16 +330,37 @@
     archive(record.trait, record.remaining);
 }
 
+// Builds that know no trials of quarantined traits ignore what follows at the end of these two.
 template<class Archive>
-void serialize(Archive &archive, CrashReport &message)
+void save(Archive &archive, const CrashReport &message)
 {
     archive(message.crashes, message.answered, message.answers, message.quarantined);
+    if (!message.refused.empty())
+        archive(message.refused);
 }
 
 template<class Archive>
-void serialize(Archive &archive, QuarantineState &message)
+void load(Archive &archive, CrashReport &message)
+{
+    archive(message.crashes, message.answered, message.answers, message.quarantined);
+    if (!archive.isAtEnd())
+        archive(message.refused);
+}
+
+template<class Archive>
+void save(Archive &archive, const QuarantineState &message)
 {
     archive(message.watched, message.quarantined);
+    if (!message.lifted.empty() || !message.trials.empty())
+        archive(message.lifted, message.trials);
+}
+
+template<class Archive>
+void load(Archive &archive, QuarantineState &message)
+{
+    archive(message.watched, message.quarantined);
+    if (!archive.isAtEnd())
+        archive(message.lifted, message.trials);
 }
 
 template<class Archive>
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -189,10 +189,24 @@
     const auto read = net::decodeMessage(net::encodeMessage(report));
     BOOST_REQUIRE(read);
     BOOST_TEST((std::get<core::CrashReport>(read.value()) == report));
-    const core::QuarantineState state{report.answered, report.quarantined};
-    const auto readState = net::decodeMessage(net::encodeMessage(state));
+    core::QuarantineState state{report.answered, report.quarantined, {}, {}};
+    const std::string withoutTrials = net::encodeMessage(state);
+    const auto readState = net::decodeMessage(withoutTrials);
     BOOST_REQUIRE(readState);
     BOOST_TEST((std::get<core::QuarantineState>(readState.value()) == state));
+    // What earlier builds don't know follows at the end, where they ignore it.
+    const std::string withoutRefused = net::encodeMessage(report);
+    report.refused = {core::RequestTrait{3}};
+    state.trials = {core::RequestTrait{4}};
+    const std::string bytes = net::encodeMessage(report);
+    const std::string stateBytes = net::encodeMessage(state);
+    BOOST_TEST(bytes.starts_with(withoutRefused));
+    BOOST_TEST(stateBytes.starts_with(withoutTrials));
+    const auto readRefused = net::decodeMessage(bytes);
+    const auto readTrials = net::decodeMessage(stateBytes);
+    BOOST_REQUIRE((readRefused && readTrials));
+    BOOST_TEST((std::get<core::CrashReport>(readRefused.value()) == report));
+    BOOST_TEST((std::get<core::QuarantineState>(readTrials.value()) == state));
 }
 
 BOOST_AUTO_TEST_CASE(isolation_and_relays_round_trip)
