--- a/core/quarantine/crash_watch.h
+++ b/core/quarantine/crash_watch.h
@@ -3,8 +3,9 @@
 // thread.
 //
 //   CrashWatch watch;
-//   watch.recordCrash({endpoint, startedAtMs, service, traits}, now);     // ended without an
-//   answer watch.recordAnswered(service, traits); if (watch.checkQuarantine(traits, now)) refuse
+//   watch.recordCrash({endpoint, startedAtMs, service, traits}, now);  // ended without an answer
+//   watch.recordAnswered(service, traits);
+//   if (watch.checkQuarantine(traits, now)) refuse
 //   send(watch.takeReport(now));                          // to the leader
 //   watch.apply(state, now);                              // from the leader
 //
@@ -60,7 +61,8 @@
         return !watched_.empty() || !quarantinedUntil_.empty() || !crashedAt_.empty();
     }
 
-    // How long a trial may be used. It is granted to one entry at a time.
+    // How long a trial may be used: less than CrashAttribution::kTrialTime, after which the leader
+    // may grant another entry one.
     static constexpr std::chrono::seconds kTrialTime{8};
 
     // Returns a quarantined trait because of which a request with these traits has to be refused,
