--- a/review/harness3.py
+++ b/review/harness3.py
@@ -370,6 +370,39 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Platform:
+    """Kills a process that uses more memory than its machine has, and starts it again, as DEPLOY.md says."""
+
+    def __init__(self, site):
+        self.site, self.ends, self.peak, self.done = site, {}, {}, threading.Event()
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def resident_mb(self, ip):
+        with open("/proc/%d/status" % self.site.processes[ip].pid, encoding="ascii") as file:
+            found = re.search(r"VmRSS:\s+(\d+) kB", file.read())
+        return int(found.group(1)) / 1024 if found else 0
+
+    def watch(self):
+        while not self.done.wait(0.02):
+            for ip in self.site.control + self.site.entries:
+                limit = self.site.settings(ip, False)["limits"]["memoryMb"]
+                used = self.resident_mb(ip)
+                self.peak[ip] = max(self.peak.get(ip, 0), used)
+                if used > limit:
+                    self.site.processes[ip].kill()
+                    self.site.processes[ip].wait()
+                    self.ends[ip] = self.ends.get(ip, 0) + 1
+                    self.site.record.add("platform: the process of %s uses %.0f MB of %d and is killed" % (
+                        ip, used, limit))
+                    time.sleep(0.5)
+                    self.site.start_vm(ip)
+
+    def stop(self):
+        self.done.set()
+        self.thread.join()
+
+
 def route(name, prefix, kind, service, **more):
     return dict({"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3000,
                  "targetLatencyMs": 300, "priority": 1, "service": service, "maxAttempts": 3,
