Require a key where the list of accounts is empty

Cause: SiteConfig::accounts was a list, and SiteTable::needsKeys() took an empty one for a document without `tenants`, which requires no keys. The decoder dropped the difference. Documents are stored and sent as the operator's bytes, so nothing on their way lost it: each process made the same mistake when it decoded them.

Change: the accounts are absent or a list.

--- a/core/config/site_config.cpp
+++ b/core/config/site_config.cpp
@@ -35,10 +35,10 @@
     return outcome::success();
 }
 
-Result<void> validateKeys(const SiteConfig &config)
+Result<void> validateKeys(const std::vector<Account> &accounts)
 {
     std::map<std::string, ClientAccountId> keyOwners;
-    for (const Account &account : config.accounts) {
+    for (const Account &account : accounts) {
         for (const std::string &key : account.keys) {
             const auto [owner, isNew] = keyOwners.emplace(key, account.id);
             if (!isNew && owner->second != account.id)
@@ -62,7 +62,7 @@
         if (!hostsAndPrefixes.emplace(route.host, route.prefix).second)
             return invalid(fmt::format("route {}: another has its host and prefix", route.name));
     }
-    return validateKeys(config);
+    return config.accounts ? validateKeys(*config.accounts) : outcome::success();
 }
 
 SiteTable::SiteTable(std::shared_ptr<const SiteConfig> config)
@@ -75,9 +75,11 @@
             return left->prefix.size() > right->prefix.size();
         });
     }
-    for (const Account &account : config_->accounts) {
-        for (const std::string &key : account.keys)
-            accounts_.emplace(key, &account);
+    if (config_->accounts) {
+        for (const Account &account : *config_->accounts) {
+            for (const std::string &key : account.keys)
+                accounts_.emplace(key, &account);
+        }
     }
     for (const Service &service : config_->services)
         services_.emplace(service.name, &service);
--- a/core/config/site_config.h
+++ b/core/config/site_config.h
@@ -125,7 +125,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<Service> services;
-    std::vector<Account> accounts; // empty: no key is required
+    // Absent: no key is required. Empty: a key is required and none is valid.
+    std::optional<std::vector<Account>> accounts;
     CallerLimits limits;
 
     bool operator==(const SiteConfig &) const = default;
@@ -150,7 +151,7 @@
 
     [[nodiscard]] const Service *service(const ServiceName &name) const;
 
-    [[nodiscard]] bool needsKeys() const { return !config_->accounts.empty(); }
+    [[nodiscard]] bool needsKeys() const { return config_->accounts.has_value(); }
 
 private:
     std::shared_ptr<const SiteConfig> config_; // owns the objects that the pointers below refer to
--- a/core/config/testing/site_config_test.cpp
+++ b/core/config/testing/site_config_test.cpp
@@ -26,8 +26,8 @@
     config.version = 1;
     config.routes = {makeRoute("refunds", "/refunds/"), makeRoute("old", "/refunds/old/")};
     config.services = {Service{ServiceName("ledger")}};
-    config.accounts = {Account{ClientAccountId("duka-1"), {"k1", "k2"}},
-                       Account{ClientAccountId("duka-2"), {"k3"}}};
+    config.accounts.emplace({Account{ClientAccountId("duka-1"), {"k1", "k2"}},
+                             Account{ClientAccountId("duka-2"), {"k3"}}});
     return config;
 }
 
@@ -62,7 +62,7 @@
     config.routes[0].prefix = "/refunds";
     BOOST_TEST(problemOf(config) == "route refunds: the prefix needs a slash at both ends");
     config = makeConfig();
-    config.accounts[1].keys = {"k1"};
+    config.accounts->at(1).keys = {"k1"};
     BOOST_TEST(problemOf(config) == "accounts duka-1 and duka-2 share a key");
 }
 
@@ -84,3 +84,18 @@
     BOOST_TEST(!table.accountOf("k4"));
     BOOST_TEST(table.needsKeys());
 }
+
+// Guards against a site that serves everybody once its last account is removed (review/13).
+BOOST_AUTO_TEST_CASE(keys_are_required_while_there_is_a_list_of_accounts)
+{
+    SiteConfig config = makeConfig();
+    config.accounts->clear();
+    BOOST_TEST(problemOf(config) == "");
+    const SiteTable closed(std::make_shared<const SiteConfig>(config));
+    BOOST_TEST(closed.needsKeys());
+    BOOST_TEST(!closed.accountOf("k1"));
+    config.accounts.reset();
+    BOOST_TEST(problemOf(config) == "");
+    const SiteTable open(std::make_shared<const SiteConfig>(config));
+    BOOST_TEST(!open.needsKeys());
+}
--- a/net/json_fields.h
+++ b/net/json_fields.h
@@ -33,8 +33,12 @@
     // `jsonPath` identifies the object in failures. An empty path stands for the whole document.
     FieldReader(const Json::Value &value, std::string jsonPath);
 
+    // Whether the field exists and is not null. All other reads treat null as a missing field.
     [[nodiscard]] bool has(const char *name);
 
+    // Whether the field exists, possibly as null.
+    [[nodiscard]] bool contains(const char *name) const { return value_.isMember(name); }
+
     // A field is required if no `fallback` is given, and optional otherwise.
     std::string text(const char *name);
     std::string text(const char *name, const std::string &fallback);
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -522,9 +522,15 @@
         wait_until(try_control_vms, "a response to %s %s" % (method, path))
         return result[-1]
 
-    def configure(self, version, keys=("k1",), prefix="/calls/", draft_fields=None,
-                  refund_fields=None, change=None):
-        """`change` is called with the configuration before it is sent."""
+    def configure(self, version, **options):
+        """Sends a configuration. Returns it and the response."""
+        body = self.configuration(version, **options)
+        return body, self.operator_call("POST", "/fireflyroute/Config.Replace", body)
+
+    @staticmethod
+    def configuration(version, keys=("k1",), prefix="/calls/", draft_fields=None, refund_fields=None,
+                      change=None):
+        """`change` is called with the configuration before it is encoded."""
         def route(name, path, kind, service, **more):
             return dict({"name": name, "host": "desk.example", "pathPrefix": path, "kind": kind,
                          "timeoutMs": 6000, "targetLatencyMs": 2000, "service": service,
@@ -546,13 +552,14 @@
             "tenants": [{"name": "duka", "apiKeys": list(keys)}]}
         if change:
             change(config)
-        body = json.dumps(config)
-        return body, self.operator_call("POST", "/fireflyroute/Config.Replace", body)
+        return json.dumps(config)
 
     def request(self, path, method="GET", key="k1", entry=0, headers=None, timeout=8, body=None):
         self.requests += 1
         fields = {"Host": "desk.example", "Fireflyroute-Request-Id": "r%d" % self.requests,
-                  "Authorization": "Token " + key, "Fireflyroute-Deadline-Ms": "6000"}
+                  "Fireflyroute-Deadline-Ms": "6000"}
+        if key is not None:
+            fields["Authorization"] = "Token " + key
         fields.update(headers or {})
         return call(method, self.entries[entry] + ":8227", path, body, fields, timeout)
 
