Keep a first configuration with version 0

What callers saw: the operator's first configuration had the version 0.

Cause: 0 stood for "no document yet" wherever a version was compared. The leader took version 0 for known and acknowledged it without a log entry; SiteState would have dropped the entry; a read took a held version 0 for none; StateFeed would have omitted the document for an entry that holds none; the entry would have kept its empty table; a control VM would not have decoded it for the limits of cold endpoints.

Change: the document in SiteData is absent before the first one, and so is the version in StateRequest. StateFeed::merge() decides what an entry takes, and is tested in the core. Without version 0 everything is encoded byte for byte as before.

--- a/app/site_control.cpp
+++ b/app/site_control.cpp
@@ -222,7 +222,8 @@
     gauge("control_work_bytes_to_control_vms_total", workBytesToControlVms_);
     gauge("control_prompts_dropped_total", updateRelay_.droppedPrompts());
     gauge("site_revision", state_.data().revision);
-    gauge("site_config_version", state_.data().document.version);
+    gauge("site_has_config", state_.data().document ? 1 : 0);
+    gauge("site_config_version", state_.data().documentVersion().value_or(0));
     gauge("log_lines_dropped_total", log_.droppedTotal());
     text += evacuationMetrics();
     return text;
--- a/app/site_control.h
+++ b/app/site_control.h
@@ -33,6 +33,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -68,6 +69,7 @@
         core::VmId vm; // empty until the handshake is received
         bool isEntry = false;
         core::DataCentreId dataCentre;
+        bool holdsVersionZero = false; // see core::Handshake
         core::StateFeed feed; // used for entries only
     };
 
@@ -86,6 +88,8 @@
     void handleCall(const core::HeartbeatCall &call, const AnswerCallback &callback);
     void handleCall(const core::DeregisterCall &call, const AnswerCallback &callback);
     void handleCall(const core::InvalidCall &call, const AnswerCallback &callback);
+    // A connected control VM that would lose a document with version 0; null for none.
+    [[nodiscard]] const Peer *findPeerWithoutVersionZero() const;
     [[nodiscard]] core::ControlAnswer notLeaderAnswer() const;
     void propose(const core::SiteCommand &command, const std::string &description,
                  const AnswerCallback &callback);
@@ -150,7 +154,7 @@
     // Services of the last valid document with a limit for cold endpoints. The other parts of a
     // document, which may take megabytes, are not kept.
     std::map<core::ServiceName, core::Service> limitedServices_;
-    std::uint64_t decodedVersion_ = 0; // of the last document that was decoded
+    std::optional<std::uint64_t> decodedVersion_; // of the last document that was decoded
     std::uint64_t coldEndpointsNow_ = 0; // for which the leader grants allowances
     std::unique_ptr<ReplicaDriver> driver_; // set by open()
     std::map<net::FrameLink *, Peer> incomingLinks_;
--- a/app/site_control_endpoints.cpp
+++ b/app/site_control_endpoints.cpp
@@ -128,10 +128,10 @@
 
 void SiteControl::evaluateColdEndpoints()
 {
-    const core::ConfigDocument &document = state_.data().document;
-    if (document.version != decodedVersion_) {
-        decodedVersion_ = document.version;
-        if (const auto config = decode_(document.bytes.value())) {
+    const std::optional<core::ConfigDocument> &document = state_.data().document;
+    if (document && document->version != decodedVersion_) {
+        decodedVersion_ = document->version;
+        if (const auto config = decode_(document->bytes.value())) {
             limitedServices_.clear();
             for (const core::Service &service : config->services) {
                 if (service.coldPerSecond > 0)
--- a/app/site_control_links.cpp
+++ b/app/site_control_links.cpp
@@ -47,6 +47,7 @@
     peer.vm = message.vm;
     peer.isEntry = message.isEntry;
     peer.dataCentre = message.dataCentre;
+    peer.holdsVersionZero = message.holdsVersionZero;
     LogLine(log_, LogKind::Link)
             .add("event", "regained")
             .add("peer", peer.vm.value())
@@ -201,8 +202,8 @@
         net::FrameHandlers handlers;
         handlers.onFrame = [](net::FrameLink &, std::string_view) {};
         handlers.onConnected = [this](net::FrameLink &link) {
-            link.send(
-                    net::encodeMessage(core::Handshake{settings_.vm, false, settings_.dataCentre}));
+            link.send(net::encodeMessage(
+                    core::Handshake{settings_.vm, false, settings_.dataCentre, true}));
             link.send(net::encodeMessage(core::EndpointUpdate{registry_.all()}));
         };
         handlers.onDisconnected = [this, vm](net::FrameLink &) {
--- a/app/site_control_operator.cpp
+++ b/app/site_control_operator.cpp
@@ -48,19 +48,42 @@
 
 void SiteControl::handleCall(const core::ReplaceConfigCall &call, const AnswerCallback &callback)
 {
-    const core::ConfigDocument &current = state_.data().document;
-    if (driver_->isLeader() && call.document.version <= current.version) {
+    const core::SiteData &current = state_.data();
+    const std::uint64_t version = call.document.version;
+    if (driver_->isLeader() && current.documentVersion() >= version) {
         LogLine(log_, LogKind::Config)
-                .add("order", fmt::format("config {}", call.document.version))
+                .add("order", fmt::format("config {}", version))
                 .add("outcome", "known")
-                .add("held_version", static_cast<std::int64_t>(current.version));
+                .add("held_version", core::describeDocumentVersion(current));
         core::ControlAnswer answer;
         answer.status = core::ControlStatus::Done;
         callback(answer);
         return;
     }
-    propose(core::PutDocument{call.document}, fmt::format("config {}", call.document.version),
-            callback);
+    const Peer *older = version == 0 ? findPeerWithoutVersionZero() : nullptr;
+    if (driver_->isLeader() && older) {
+        LogLine(log_, LogKind::Config)
+                .add("order", "config 0")
+                .add("outcome", "not_held_by_all")
+                .add("peer", older->vm.value());
+        core::ControlAnswer answer;
+        answer.problem = fmt::format("control VM {} is of a build that takes version 0 for no "
+                                     "configuration",
+                                     older->vm.value());
+        callback(answer);
+        return;
+    }
+    propose(core::PutDocument{call.document}, fmt::format("config {}", version), callback);
+}
+
+const SiteControl::Peer *SiteControl::findPeerWithoutVersionZero() const
+{
+    for (const auto &[link, peer] : incomingLinks_) {
+        const bool isControlVm = !peer.vm.empty() && !peer.isEntry;
+        if (isControlVm && !peer.holdsVersionZero)
+            return &peer;
+    }
+    return nullptr;
 }
 
 void SiteControl::handleCall(const core::ReadConfigCall & /*call*/, const AnswerCallback &callback)
@@ -70,10 +93,9 @@
         return;
     }
     core::ControlAnswer answer;
-    const core::ConfigDocument &document = state_.data().document;
-    if (document.version != 0) {
+    if (const std::optional<core::ConfigDocument> &document = state_.data().document) {
         answer.status = core::ControlStatus::Done;
-        answer.document = document.bytes.value();
+        answer.document = document->bytes.value();
     }
     callback(answer);
 }
--- a/app/site_entry.cpp
+++ b/app/site_entry.cpp
@@ -3,6 +3,7 @@
 #include "app/site_entry.h"
 
 #include "core/site/home_choice.h"
+#include "core/site/state_feed.h"
 #include "net/address.h"
 #include "net/site_codec.h"
 
@@ -184,28 +185,27 @@
     const auto peer = controlPeers_.find(*vm);
     if (peer != controlPeers_.end())
         peer->second.link->send(
-                net::encodeMessage(core::StateRequest{state_.revision, state_.document.version}));
+                net::encodeMessage(core::StateRequest{state_.revision, state_.documentVersion()}));
 }
 
 void SiteEntry::applyState(const core::VmId &vm, const core::StateUpdate &message)
 {
-    const bool lacksDocument =
-            message.documentOmitted && message.data.document.version != state_.document.version;
-    if (message.data.revision <= state_.revision || lacksDocument) {
+    std::optional<core::SiteData> next = core::StateFeed::merge(state_, message);
+    if (!next) {
         LogLine(log_, LogKind::Config)
                 .add("event", "ignored")
-                .add("version", static_cast<std::int64_t>(message.data.document.version))
+                .add("version", core::describeDocumentVersion(message.data))
                 .add("revision", static_cast<std::int64_t>(message.data.revision))
+                .add("held_version", core::describeDocumentVersion(state_))
                 .add("held_revision", static_cast<std::int64_t>(state_.revision))
                 .add("from", vm.value());
         return;
     }
-    const bool isNewConfig = message.data.document.version != state_.document.version;
-    if (isNewConfig) {
-        auto config = decode_(message.data.document.bytes.value());
+    if (next->document && next->documentVersion() != state_.documentVersion()) {
+        auto config = decode_(next->document->bytes.value());
         LogLine(log_, LogKind::Config)
                 .add("event", config ? "taken" : "unreadable")
-                .add("version", static_cast<std::int64_t>(message.data.document.version))
+                .add("version", static_cast<std::int64_t>(next->document->version))
                 .add("revision", static_cast<std::int64_t>(message.data.revision))
                 .add("from", vm.value());
         if (!config)
@@ -223,10 +223,7 @@
                 .add("revision", static_cast<std::int64_t>(message.data.revision));
     }
     logEvacuations(message.data);
-    core::ConfigDocument previousDocument = std::move(state_.document);
-    state_ = message.data;
-    if (message.documentOmitted)
-        state_.document = std::move(previousDocument);
+    state_ = std::move(*next);
     freshness_.revisionApplied(state_.revision);
     publishView();
     publishFreshness();
@@ -384,16 +381,18 @@
     std::size_t open = 0;
     for (const auto &[vm, peer] : controlPeers_)
         open += peer.link->isOpen() ? 1 : 0;
-    return fmt::format("fireflyroute_site_revision {}\nfireflyroute_site_config_version {}\n"
+    return fmt::format("fireflyroute_site_revision {}\nfireflyroute_site_has_config {}\n"
+                       "fireflyroute_site_config_version {}\n"
                        "fireflyroute_entry_ready {}\nfireflyroute_entry_control_links {}\n"
                        "fireflyroute_entry_state_updates_total {}\n"
                        "fireflyroute_entry_state_bytes_total {}\n"
                        "fireflyroute_entry_isolated {}\nfireflyroute_entry_relays {}\n"
                        "fireflyroute_entry_evacuations {}\n"
                        "fireflyroute_log_lines_dropped_total {}\n",
-                       state_.revision, state_.document.version, isReady() ? 1 : 0, open,
-                       stateUpdates_, stateBytes_, isolated_ ? 1 : 0, relays_.size(),
-                       state_.evacuations.size(), log_.droppedTotal());
+                       state_.revision, state_.document ? 1 : 0,
+                       state_.documentVersion().value_or(0), isReady() ? 1 : 0, open, stateUpdates_,
+                       stateBytes_, isolated_ ? 1 : 0, relays_.size(), state_.evacuations.size(),
+                       log_.droppedTotal());
 }
 
 } // namespace fireflyroute::app
--- a/core/site/site_messages.h
+++ b/core/site/site_messages.h
@@ -8,6 +8,7 @@
 #include "core/group/replication_types.h"
 #include "core/site/site_state.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -19,6 +20,8 @@
     VmId vm;
     bool isEntry = false;
     DataCentreId dataCentre;
+    // Whether the sender can hold a document with version 0. Earlier builds take it for none.
+    bool holdsVersionZero = false;
 };
 
 // Sent by an entry to check whether its state is the newest.
@@ -47,11 +50,11 @@
 struct StateRequest
 {
     std::uint64_t revision = 0; // of the state that the entry holds
-    std::uint64_t documentVersion = 0; // of the configuration in that state
+    std::optional<std::uint64_t> documentVersion; // of the configuration in that state, if any
 };
 
 // The answer to a StateRequest. The document's bytes are omitted if the entry already holds that
-// version.
+// version, and also if neither side holds a document.
 struct StateUpdate
 {
     SiteData data;
--- a/core/site/site_state.cpp
+++ b/core/site/site_state.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+std::string describeDocumentVersion(const SiteData &data)
+{
+    return data.document ? std::to_string(data.document->version) : "none";
+}
+
 void SiteState::apply(const SiteCommand &command)
 {
     if (std::visit([this](const auto &typed) { return applyChange(typed); }, command))
@@ -20,7 +25,8 @@
 
 bool SiteState::applyChange(const PutDocument &command)
 {
-    if (command.document.version <= data_.document.version)
+    // Nothing is less than every version.
+    if (data_.documentVersion() >= command.document.version)
         return false;
     data_.document = command.document;
     return true;
--- a/core/site/site_state.h
+++ b/core/site/site_state.h
@@ -20,6 +20,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -29,7 +30,7 @@
 // them as they were; they are decoded outside the core.
 struct ConfigDocument
 {
-    std::uint64_t version = 0; // 0 before the first document
+    std::uint64_t version = 0; // chosen by the operator; the first may be 0
     SharedBytes bytes;
 
     bool operator==(const ConfigDocument &) const = default;
@@ -107,13 +108,22 @@
 struct SiteData
 {
     std::uint64_t revision = 0; // increases by one with each change
-    ConfigDocument document;
+    std::optional<ConfigDocument> document; // absent before the first one
     std::map<ServiceName, SiteRollout> rollouts; // the newest roll-out of each service
     Evacuations evacuations;
 
     bool operator==(const SiteData &) const = default;
+
+    // Version of the document; nothing before the first one.
+    [[nodiscard]] std::optional<std::uint64_t> documentVersion() const
+    {
+        return document ? std::optional(document->version) : std::nullopt;
+    }
 };
 
+// The version of the document for logs; "none" before the first one.
+[[nodiscard]] std::string describeDocumentVersion(const SiteData &data);
+
 class SiteState
 {
 public:
--- a/core/site/state_feed.cpp
+++ b/core/site/state_feed.cpp
@@ -19,14 +19,25 @@
     if (state.revision <= request.revision)
         return std::nullopt;
     StateUpdate update;
-    update.data.revision = state.revision;
-    update.data.rollouts = state.rollouts;
-    update.data.evacuations = state.evacuations;
-    update.data.document.version = state.document.version;
-    update.documentOmitted = request.documentVersion == state.document.version;
-    if (!update.documentOmitted)
-        update.data.document.bytes = state.document.bytes;
+    update.data = state;
+    update.documentOmitted = request.documentVersion == state.documentVersion();
+    if (update.documentOmitted && update.data.document)
+        update.data.document->bytes = {};
     return update;
 }
 
+std::optional<SiteData> StateFeed::merge(const SiteData &held, const StateUpdate &update)
+{
+    if (update.data.revision <= held.revision)
+        return std::nullopt;
+    SiteData next = update.data;
+    if (!update.documentOmitted)
+        return next;
+    // An omitted document with version 0 is decoded as none.
+    if (next.documentVersion().value_or(0) != held.documentVersion().value_or(0))
+        return std::nullopt;
+    next.document = held.document;
+    return next;
+}
+
 } // namespace fireflyroute::core
--- a/core/site/state_feed.h
+++ b/core/site/state_feed.h
@@ -4,6 +4,7 @@
 //   StateFeed feed(inSameRegion);
 //   if (auto announcement = feed.onChange(state, now)) link.send(*announcement);
 //   if (auto update = StateFeed::answer(request, state)) link.send(*update);
+//   if (auto next = StateFeed::merge(held, *update)) held = *next;         // at the entry
 
 #ifndef FIREFLYROUTE_CORE_SITE_STATE_FEED_H
 #define FIREFLYROUTE_CORE_SITE_STATE_FEED_H
@@ -43,6 +44,11 @@
     [[nodiscard]] static std::optional<StateUpdate> answer(const StateRequest &request,
                                                            const SiteData &state);
 
+    // Returns the state of an entry that holds `held` after an update. Returns nothing if the
+    // update is not newer, or omits a document that the entry does not hold.
+    [[nodiscard]] static std::optional<SiteData> merge(const SiteData &held,
+                                                       const StateUpdate &update);
+
 private:
     bool inSameRegion_;
     std::uint64_t announcedRevision_ = 0;
--- a/core/site/testing/state_feed_test.cpp
+++ b/core/site/testing/state_feed_test.cpp
@@ -16,7 +16,7 @@
 {
     SiteData data;
     data.revision = revision;
-    data.document = {version, "document"};
+    data.document = ConfigDocument{version, "document"};
     return data;
 }
 
@@ -64,8 +64,8 @@
     const auto update = StateFeed::answer({1, 7}, state(2, 7));
     BOOST_REQUIRE(update.has_value());
     BOOST_TEST(update->documentOmitted);
-    BOOST_TEST(update->data.document.version == 7U);
-    BOOST_TEST(update->data.document.bytes.empty());
+    BOOST_TEST(update->data.document.value().version == 7U);
+    BOOST_TEST(update->data.document->bytes.empty());
 }
 
 // Guards against updates that leave a part of the state out, which entries then never receive.
@@ -78,3 +78,38 @@
     BOOST_REQUIRE(update.has_value());
     BOOST_TEST((update->data == data));
 }
+
+// Guards against a first document with version 0 that an entry without any is thought to hold, as
+// after a roll-out that was ordered before it (review/15).
+BOOST_AUTO_TEST_CASE(document_with_version_zero_is_sent_to_an_entry_without_any)
+{
+    const auto update = StateFeed::answer({1, std::nullopt}, state(2, 0));
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(!update->documentOmitted);
+    BOOST_TEST((update->data == state(2, 0)));
+    BOOST_TEST(StateFeed::answer({1, 0}, state(2, 0)).value().documentOmitted);
+}
+
+BOOST_AUTO_TEST_CASE(entry_takes_newer_states_only_and_keeps_an_omitted_document)
+{
+    SiteData data = state(3, 0);
+    data.evacuations[DataCentreId("a")] = 1000;
+    const SiteData held = state(2, 0);
+    BOOST_TEST((StateFeed::merge(held, StateFeed::answer({2, 0}, data).value()) == data));
+    BOOST_TEST((StateFeed::merge(SiteData{}, StateFeed::answer({0, std::nullopt}, data).value())
+                == data));
+    BOOST_TEST(!StateFeed::merge(data, StateUpdate{data, false}).has_value());
+    BOOST_TEST(!StateFeed::merge(state(4, 0), StateUpdate{data, false}).has_value());
+    // Neither side holds a document.
+    SiteData empty;
+    empty.revision = 1;
+    BOOST_TEST((StateFeed::merge(SiteData{}, StateFeed::answer({0, std::nullopt}, empty).value())
+                == empty));
+}
+
+BOOST_AUTO_TEST_CASE(update_without_a_document_that_the_entry_lacks_is_not_taken)
+{
+    const StateUpdate update = StateFeed::answer({1, 7}, state(2, 7)).value();
+    BOOST_TEST(!StateFeed::merge(state(1, 6), update).has_value());
+    BOOST_TEST(!StateFeed::merge(SiteData{}, update).has_value());
+}
--- a/core/site/testing/state_fetch_test.cpp
+++ b/core/site/testing/state_fetch_test.cpp
@@ -38,7 +38,7 @@
     void change(std::uint64_t revision)
     {
         state_.revision = revision;
-        state_.document.version = revision;
+        state_.document = ConfigDocument{revision, {}};
     }
 
     void run(Duration duration)
--- a/core/testing/site_state_test.cpp
+++ b/core/testing/site_state_test.cpp
@@ -40,10 +40,10 @@
     state.apply(PutDocument{{7, "seven"}});
     state.apply(PutDocument{{5, "five"}});
     state.apply(PutDocument{{7, "another seven"}});
-    BOOST_TEST(state.data().document.bytes.value() == "seven");
+    BOOST_TEST(state.data().document.value().bytes.value() == "seven");
     BOOST_TEST(state.data().revision == 1U);
     state.apply(PutDocument{{9, "nine"}});
-    BOOST_TEST(state.data().document.bytes.value() == "nine");
+    BOOST_TEST(state.data().document.value().bytes.value() == "nine");
     BOOST_TEST(state.data().revision == 2U);
 }
 
@@ -62,6 +62,23 @@
     BOOST_TEST((rolloutOf(state).stage == RolloutStage::Canary));
 }
 
+// Guards against a first document with version 0 that is taken for one that is known already and
+// dropped (review/15).
+BOOST_AUTO_TEST_CASE(first_document_may_have_version_zero)
+{
+    SiteState state;
+    state.apply(PutDocument{{0, "zero"}});
+    BOOST_TEST(state.data().document.value().bytes.value() == "zero");
+    BOOST_TEST(state.data().revision == 1U);
+    state.apply(PutDocument{{0, "another zero"}});
+    BOOST_TEST(state.data().document->bytes.value() == "zero");
+    BOOST_TEST(state.data().revision == 1U);
+    state.apply(PutDocument{{1, "one"}});
+    state.apply(PutDocument{{0, "zero"}});
+    BOOST_TEST(state.data().document->bytes.value() == "one");
+    BOOST_TEST(state.data().revision == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(rollout_stage_never_moves_back)
 {
     SiteState state;
--- a/net/site_codec.cpp
+++ b/net/site_codec.cpp
@@ -137,10 +137,27 @@
     archive(message.group, message.from, message.to, message.term, message.body);
 }
 
+// Stands in a log entry or snapshot between the version 0 of a document and its bytes, where others
+// have the length of the bytes. Builds that take version 0 for no document reject the length: as a
+// control VM they would lose an acknowledged document.
+constexpr std::uint64_t kVersionZeroMark = std::numeric_limits<std::uint64_t>::max() - 1;
+
+template<class Archive>
+void save(Archive &archive, const ConfigDocument &document)
+{
+    archive(document.version);
+    if (document.version == 0)
+        archive(kVersionZeroMark);
+    archive(document.bytes);
+}
+
 template<class Archive>
-void serialize(Archive &archive, ConfigDocument &document)
+void load(Archive &archive, ConfigDocument &document)
 {
-    archive(document.version, document.bytes);
+    archive(document.version);
+    if (document.version == 0)
+        archive.skipNumber(kVersionZeroMark);
+    archive(document.bytes);
 }
 
 template<class Archive>
@@ -182,10 +199,13 @@
 void save(Archive &archive, const SiteData &data)
 {
     const bool hasEvacuations = !data.evacuations.empty();
-    archive(data.revision, data.document.version);
+    const ConfigDocument document = data.document.value_or(ConfigDocument{});
+    archive(data.revision, document.version);
     if (hasEvacuations)
         archive(kEvacuationsMark);
-    archive(data.document.bytes, data.rollouts);
+    if (data.documentVersion() == 0U)
+        archive(kVersionZeroMark);
+    archive(document.bytes, data.rollouts);
     if (hasEvacuations)
         archive(data.evacuations);
 }
@@ -193,9 +213,13 @@
 template<class Archive>
 void load(Archive &archive, SiteData &data)
 {
-    archive(data.revision, data.document.version);
+    ConfigDocument document;
+    archive(data.revision, document.version);
     const bool hasEvacuations = archive.skipNumber(kEvacuationsMark);
-    archive(data.document.bytes, data.rollouts);
+    const bool isVersionZero = document.version == 0 && archive.skipNumber(kVersionZeroMark);
+    archive(document.bytes, data.rollouts);
+    if (document.version != 0 || isVersionZero)
+        data.document = std::move(document);
     if (hasEvacuations)
         archive(data.evacuations);
 }
@@ -208,10 +232,21 @@
             record.unresponsive);
 }
 
+// Earlier builds ignore what follows at the end of a handshake and of a request of the state.
+template<class Archive>
+void save(Archive &archive, const Handshake &message)
+{
+    archive(message.vm, message.isEntry, message.dataCentre);
+    if (message.holdsVersionZero)
+        archive(true);
+}
+
 template<class Archive>
-void serialize(Archive &archive, Handshake &message)
+void load(Archive &archive, Handshake &message)
 {
     archive(message.vm, message.isEntry, message.dataCentre);
+    if (!archive.isAtEnd())
+        archive(message.holdsVersionZero);
 }
 
 template<class Archive>
@@ -232,10 +267,25 @@
     archive(message.revision, message.sameRegion);
 }
 
+// Version 0 without anything behind it means that the entry holds no document.
+template<class Archive>
+void save(Archive &archive, const StateRequest &message)
+{
+    archive(message.revision, message.documentVersion.value_or(0));
+    if (message.documentVersion == 0U)
+        archive(true);
+}
+
 template<class Archive>
-void serialize(Archive &archive, StateRequest &message)
+void load(Archive &archive, StateRequest &message)
 {
-    archive(message.revision, message.documentVersion);
+    std::uint64_t version = 0;
+    bool holdsVersionZero = false;
+    archive(message.revision, version);
+    if (!archive.isAtEnd())
+        archive(holdsVersionZero);
+    if (version != 0 || holdsVersionZero)
+        message.documentVersion = version;
 }
 
 // The document is compressed: it is by far the largest part of all messages to entries. Evacuations
@@ -245,9 +295,9 @@
 void save(Archive &archive, const StateUpdate &message)
 {
     const SiteData &data = message.data;
-    archive(data.revision, data.document.version,
-            fireflyroute::net::compress(data.document.bytes.value()), data.rollouts,
-            message.documentOmitted);
+    const ConfigDocument document = data.document.value_or(ConfigDocument{});
+    archive(data.revision, document.version, fireflyroute::net::compress(document.bytes.value()),
+            data.rollouts, message.documentOmitted);
     if (!data.evacuations.empty())
         archive(data.evacuations);
 }
@@ -256,9 +306,12 @@
 void load(Archive &archive, StateUpdate &message)
 {
     SiteData &data = message.data;
+    ConfigDocument document;
     std::string packed;
-    archive(data.revision, data.document.version, packed, data.rollouts, message.documentOmitted);
-    data.document.bytes = fireflyroute::net::decompress(packed);
+    archive(data.revision, document.version, packed, data.rollouts, message.documentOmitted);
+    document.bytes = fireflyroute::net::decompress(packed);
+    if (document.version != 0 || !document.bytes.empty())
+        data.document = std::move(document);
     if (!archive.isAtEnd())
         archive(data.evacuations);
 }
--- a/net/testing/site_codec_test.cpp
+++ b/net/testing/site_codec_test.cpp
@@ -2,6 +2,7 @@
 // rejected.
 
 #define BOOST_TEST_MODULE site_codec
+#include "core/site/state_feed.h"
 #include "net/site_codec.h"
 
 #include <boost/test/unit_test.hpp>
@@ -16,7 +17,7 @@
 {
     core::SiteData data;
     data.revision = 9;
-    data.document = {7, "{\"version\":7}"};
+    data.document = core::ConfigDocument{7, "{\"version\":7}"};
     core::SiteRollout rollout;
     rollout.service = core::ServiceName("llm");
     rollout.target = core::VersionName("v2");
@@ -61,7 +62,7 @@
     BOOST_TEST(hexOf(net::encodeSiteData(siteData()))
                == "01" + positionHex + "0d000000000000007b2276657273696f6e223a377d" + kRolloutsHex);
     core::StateUpdate update{siteData(), true};
-    update.data.document.bytes = {};
+    update.data.document->bytes = {};
     BOOST_TEST(hexOf(net::encodeMessage(update))
                == "0103000000" + positionHex
                           + "0800000000000000"
@@ -73,6 +74,101 @@
                == "010200000003000000000000006c6c6d030000000000000002000000");
 }
 
+// The expected bytes are those of the builds that take version 0 for no document. They have to read
+// what is sent beside and before such a document.
+BOOST_AUTO_TEST_CASE(state_without_a_document_is_encoded_as_before_version_zero)
+{
+    core::SiteData data;
+    data.revision = 9;
+    const std::string positionHex = "09000000000000000000000000000000"; // revision, version
+    const std::string emptyHex = "0000000000000000"; // bytes or roll-outs
+    BOOST_TEST(hexOf(net::encodeSiteData(data)) == "01" + positionHex + emptyHex + emptyHex);
+    BOOST_TEST((net::decodeSiteData(net::encodeSiteData(data)).value() == data));
+    BOOST_TEST(hexOf(net::encodeMessage(core::StateRequest{9, std::nullopt}))
+               == "010a000000" + positionHex);
+    const core::Handshake handshake{core::VmId("a"), true, core::DataCentreId("b")};
+    const std::string handshakeHex = "0100000000"
+                                     "010000000000000061"
+                                     "01"
+                                     "010000000000000062";
+    BOOST_TEST(hexOf(net::encodeMessage(handshake)) == handshakeHex);
+    const auto read = net::decodeMessage(net::encodeMessage(handshake));
+    BOOST_TEST(!std::get<core::Handshake>(read.value()).holdsVersionZero);
+}
+
+// Earlier builds ignore what follows the fields that they know.
+BOOST_AUTO_TEST_CASE(what_builds_tell_each_other_of_version_zero_follows_at_the_end)
+{
+    const core::Handshake handshake{core::VmId("a"), false, core::DataCentreId("b"), true};
+    const std::string hello = net::encodeMessage(handshake);
+    BOOST_TEST(hexOf(hello)
+               == "0100000000"
+                  "010000000000000061"
+                  "00"
+                  "010000000000000062"
+                  "01");
+    BOOST_TEST(std::get<core::Handshake>(net::decodeMessage(hello).value()).holdsVersionZero);
+    const std::string request = net::encodeMessage(core::StateRequest{9, 0});
+    BOOST_TEST(hexOf(request)
+               == "010a000000"
+                  "0900000000000000"
+                  "0000000000000000"
+                  "01");
+    const auto read = net::decodeMessage(request);
+    BOOST_TEST((std::get<core::StateRequest>(read.value()).documentVersion == 0U));
+    const auto none = net::decodeMessage(request.substr(0, request.size() - 1));
+    BOOST_TEST(!std::get<core::StateRequest>(none.value()).documentVersion.has_value());
+}
+
+// Guards against a document with version 0 that is lost where it is stored or sent (review/15).
+BOOST_AUTO_TEST_CASE(document_with_version_zero_round_trips)
+{
+    for (core::SiteData data : {siteData(), evacuatedSiteData()}) {
+        data.document = core::ConfigDocument{0, "{\"version\":0}"};
+        const auto snapshot = net::decodeSiteData(net::encodeSiteData(data));
+        BOOST_REQUIRE(snapshot);
+        BOOST_TEST((snapshot.value() == data));
+        const auto update = net::decodeMessage(net::encodeMessage(core::StateUpdate{data}));
+        BOOST_REQUIRE(update);
+        BOOST_TEST((std::get<core::StateUpdate>(update.value()).data == data));
+    }
+    const core::ConfigDocument document{0, "{\"version\":0}"};
+    const auto command = net::decodeCommand(net::encodeCommand(core::PutDocument{document}));
+    BOOST_REQUIRE(command);
+    BOOST_TEST((std::get<core::PutDocument>(command.value()).document == document));
+}
+
+// Guards against an entry that holds version 0 and takes no state in which it is omitted.
+BOOST_AUTO_TEST_CASE(omitted_document_with_version_zero_is_kept_by_the_entry)
+{
+    core::SiteData held = siteData();
+    held.document = core::ConfigDocument{0, "{\"version\":0}"};
+    core::SiteData next = held;
+    next.revision = held.revision + 1;
+    const auto update = core::StateFeed::answer({held.revision, 0}, next);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(update->documentOmitted);
+    const auto read = net::decodeMessage(net::encodeMessage(*update));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((core::StateFeed::merge(held, std::get<core::StateUpdate>(read.value())) == next));
+}
+
+// Builds that take version 0 for no document find a length that no document can have.
+BOOST_AUTO_TEST_CASE(stored_document_with_version_zero_is_invalid_for_earlier_builds)
+{
+    const std::string markHex = "feffffffffffffff";
+    core::SiteData data = siteData();
+    data.document = core::ConfigDocument{0, "{}"};
+    BOOST_TEST(hexOf(net::encodeSiteData(data)).substr(2 + 32, 16) == markHex);
+    const std::string command = net::encodeCommand(core::PutDocument{{0, "{}"}});
+    BOOST_TEST(hexOf(command)
+               == "0100000000"
+                  "0000000000000000"
+                          + markHex
+                          + "0200000000000000"
+                            "7b7d");
+}
+
 BOOST_AUTO_TEST_CASE(evacuations_round_trip)
 {
     const auto data = net::decodeSiteData(net::encodeSiteData(evacuatedSiteData()));
@@ -239,7 +335,7 @@
     const auto request = net::decodeMessage(net::encodeMessage(core::StateRequest{8, 7}));
     BOOST_REQUIRE(request);
     BOOST_TEST(std::get<core::StateRequest>(request.value()).revision == 8U);
-    BOOST_TEST(std::get<core::StateRequest>(request.value()).documentVersion == 7U);
+    BOOST_TEST((std::get<core::StateRequest>(request.value()).documentVersion == 7U));
 }
 
 // Guards against inc1: the transfer of a configuration of 1.2 MB took an entry's network link of
@@ -259,7 +355,7 @@
                 R"("maxAttempts":3,"public":false,"sticky":true,"resumable":true}},)",
                 random() & 0xfffffffU, random());
     }
-    update.data.document.bytes = document;
+    update.data.document = core::ConfigDocument{1, document};
     const std::string bytes = net::encodeMessage(update);
     BOOST_TEST(document.size() > 1'000'000U);
     BOOST_TEST(bytes.size() < kMaxBytes);
--- a/testing/platform_stand_in.py
+++ b/testing/platform_stand_in.py
@@ -314,15 +314,15 @@
 
 class EntryLink:
     """The link of an entry to a control VM, for reports that a real entry would make only while its network
-    is partitioned."""
+    is partitioned; or the link of a control VM whose build is older than the fields at the end of a handshake."""
 
     HANDSHAKE, PROBE, RELAY_LIST = 0, 1, 13  # positions in core::SiteMessage
 
-    def __init__(self, control_ip, vm, data_centre="a"):
+    def __init__(self, control_ip, vm, data_centre="a", is_entry=True):
         self.socket = socket.create_connection((control_ip, 7340), timeout=5)
         self.socket.settimeout(None)
         self.received, self.relays = b"", None  # None before the first list
-        self.send(self.HANDSHAKE, self.encode(vm) + b"\x01" + self.encode(data_centre))
+        self.send(self.HANDSHAKE, self.encode(vm) + struct.pack("<B", is_entry) + self.encode(data_centre))
 
     def __enter__(self):
         return self
