Give no account to requests without a key

What callers saw: if the keys of an account contain an empty text, all requests without a key are served as requests of that account.

Cause: RequestMeta::key is empty if a request has none, and SiteTable::accountOf() looked it up like any key.

Change: an empty key is nobody's. Such a configuration stays valid.

Evidence: test_empty_key_is_no_key of process.account_list_test gets 200 without the change, 401 with it.

--- a/app/testing/account_list_test.py
+++ b/app/testing/account_list_test.py
@@ -108,6 +108,19 @@
         for key in ("k1", "never-held", None):
             self.assertEqual(self.statuses(key), {200}, key)
 
+    # Guards against an account with an empty key that all requests without a key get.
+    def test_empty_key_is_no_key(self):
+        def with_empty_key(config):
+            add_public_route(config)
+            config["tenants"][0]["apiKeys"] = ["", "k1"]
+
+        self.configure(with_empty_key)
+        self.await_version()
+        self.assertEqual(self.statuses("k1"), {200})
+        for key in (None, ""):
+            self.assertEqual(self.statuses(key), {401}, key)
+            self.assertEqual(self.status("/notices/1", key), 200)
+
     # Guards against snapshots, and VMs that start from one, which lose that the list exists.
     def test_empty_list_of_accounts_survives_snapshots(self):
         away = self.site.control[-1]
--- a/core/config/site_config.cpp
+++ b/core/config/site_config.cpp
@@ -77,8 +77,11 @@
     }
     if (config_->accounts) {
         for (const Account &account : *config_->accounts) {
-            for (const std::string &key : account.keys)
-                accounts_.emplace(key, &account);
+            for (const std::string &key : account.keys) {
+                // A request without a key has an empty one.
+                if (!key.empty())
+                    accounts_.emplace(key, &account);
+            }
         }
     }
     for (const Service &service : config_->services)
--- a/core/config/site_config.h
+++ b/core/config/site_config.h
@@ -146,7 +146,7 @@
     // The route of the host with the longest matching path prefix; null for none.
     [[nodiscard]] const Route *match(std::string_view host, std::string_view path) const;
 
-    // The account with the given key; null for none.
+    // The account with the given key; null for none. An empty key is nobody's.
     [[nodiscard]] const Account *accountOf(const std::string &key) const;
 
     [[nodiscard]] const Service *service(const ServiceName &name) const;
--- a/core/config/testing/site_config_test.cpp
+++ b/core/config/testing/site_config_test.cpp
@@ -85,6 +85,16 @@
     BOOST_TEST(table.needsKeys());
 }
 
+// Guards against requests without a key that get the account with an empty one.
+BOOST_AUTO_TEST_CASE(empty_key_belongs_to_no_account)
+{
+    SiteConfig config = makeConfig();
+    config.accounts->at(0).keys = {"", "k1"};
+    const SiteTable table(std::make_shared<const SiteConfig>(config));
+    BOOST_TEST(!table.accountOf(""));
+    BOOST_TEST(table.accountOf("k1"));
+}
+
 // Guards against a site that serves everybody once its last account is removed (review/13).
 BOOST_AUTO_TEST_CASE(keys_are_required_while_there_is_a_list_of_accounts)
 {
