Release the claim of a call that is refused before it is sent

What callers saw: a call that may not be repeated was refused after its claim had been recorded, for example because the lease of the entry ended in between. Each resend with its key then got 409, "the call is still running".

Cause: finishWithError() released a claim only in the state Running, which begins with the first attempt.

Change: it also releases a claim of its own in the state Claiming. Nothing was sent, so the claim is released rather than left unknown, by compare-and-set with the recorded value.

Evidence: call_that_is_refused_after_its_claim_releases_it (core.request_machine_test); the check that the claim is released failed without the change.

--- a/core/requests/request_machine_impl.h
+++ b/core/requests/request_machine_impl.h
@@ -332,7 +332,8 @@
     Actions actions;
     if (hasQueueSlot)
         actions.push_back(LeaveQueue{});
-    if (claimed_ && state_ == RequestState::Running) {
+    const bool mayHoldClaim = state_ == RequestState::Claiming || state_ == RequestState::Running;
+    if (claimed_ && mayHoldClaim) {
         const ClaimState outcome = ran == Executed::No ? ClaimState::Released : ClaimState::Unknown;
         state_ = RequestState::Recording;
         actions.push_back(
--- a/core/requests/testing/request_machine_test.cpp
+++ b/core/requests/testing/request_machine_test.cpp
@@ -118,6 +118,22 @@
     BOOST_TEST((request.last<FailAnswer>().ran == Executed::Unknown));
 }
 
+// Guards against claims that stay running, so that resends are answered 409 for good.
+BOOST_AUTO_TEST_CASE(call_that_is_refused_after_its_claim_releases_it)
+{
+    FakeRequest request(nonRepeatableCall());
+    request.start();
+    const LedgerOperation claim = request.last<PutRecord>().operation;
+    request.setLease(false);
+    request.step(LedgerReplied{{LedgerStatus::Created, claim.value}});
+    BOOST_TEST(!request.has<StartAttempt>());
+    const auto released = std::get<ClaimValue>(request.last<PutRecord>().operation.value);
+    BOOST_TEST((released.state == ClaimState::Released));
+    request.step(LedgerReplied{{LedgerStatus::Replaced, std::nullopt}});
+    BOOST_TEST((request.last<FailAnswer>().failure.code == CoreError::LeaseExpired));
+    BOOST_TEST((request.last<FailAnswer>().ran == Executed::No));
+}
+
 BOOST_AUTO_TEST_CASE(unsent_non_repeatable_call_releases_its_claim)
 {
     FakeRequest request(nonRepeatableCall(), 1);
