Enforce the list of accounts that may call a service

What callers saw: on the product's own interface a service executed calls of accounts that its `allowed_accounts` don't name.

Cause: the list was read, stored and replicated, and nothing asked it. Calls of services were checked for a lease only, so one whose account was removed while it waited was dispatched too.

Change: checkServiceCallable() is the check of a service call, at its start and before each dispatch.

Evidence: test_service_serves_the_accounts_of_its_list_only of process.operator_command_test gets 200 without the change, 403 with it; two cases of core.request_machine_test fail without it.

--- a/app/command_config.cpp
+++ b/app/command_config.cpp
@@ -68,8 +68,12 @@
             removed.push_back("client account " + account.id.value());
     }
     for (const core::ServiceSpec &service : current.services) {
-        if (!core::findService(next, service.name))
+        const core::ServiceSpec *changed = core::findService(next, service.name);
+        if (!changed)
             removed.push_back("service " + service.name.value());
+        else if (!service.allowedAccounts.empty() && changed->allowedAccounts.empty())
+            removed.push_back("the restriction of service " + service.name.value()
+                              + " to accounts");
     }
     return removed;
 }
--- a/app/testing/operator_command_test.py
+++ b/app/testing/operator_command_test.py
@@ -101,6 +101,29 @@
         self.assertIn("service refunds", self.command(*words, code=USAGE).stderr)
         self.assertEqual(self.revision(), before)
 
+    # Guards against services whose list of allowed accounts has no effect, and against a list that is
+    # emptied by mistake, which opens the service to all accounts.
+    def test_service_serves_the_accounts_of_its_list_only(self):
+        def set_allowed(accounts, *words, code=OK):
+            config = json.loads(json.dumps(self.config))
+            config["services"][0]["allowed_accounts"] = accounts
+            return self.command("config", "set", "--file=" + self.fleet.write("allowed.json", config), *words,
+                                code=code)
+
+        def status(number):
+            headers = {"Authorization": "Bearer " + self.token, "Idempotency-Key": "allowed-%d" % number}
+            return http("POST", self.entry + "/services/refunds/post/1", "{}", headers)[0]
+
+        set_allowed(["other"])
+        self.assertEqual(status(1), 403)
+        refused = set_allowed([], code=USAGE)
+        self.assertIn("the restriction of service refunds to accounts", refused.stderr)
+        self.assertEqual(status(2), 403)
+        set_allowed(["other", "duka-1"])
+        self.assertEqual(status(3), 200)
+        set_allowed([], "--yes")
+        self.assertEqual(status(4), 200)
+
     def test_outdated_revision_is_a_conflict(self):
         outdated = dict(self.config, revision=self.revision())
         path = self.fleet.write("late.json", outdated)
--- a/core/config/fleet_config.cpp
+++ b/core/config/fleet_config.cpp
@@ -193,6 +193,12 @@
     return allowed;
 }
 
+bool admits(const ServiceSpec &service, const ClientAccountId &account)
+{
+    const std::vector<ClientAccountId> &allowed = service.allowedAccounts;
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), account) != allowed.end();
+}
+
 bool isNonRepeatable(const ServiceSpec &service, std::string_view method, std::string_view path)
 {
     return std::any_of(service.nonRepeatable.begin(), service.nonRepeatable.end(),
--- a/core/config/fleet_config.h
+++ b/core/config/fleet_config.h
@@ -252,6 +252,9 @@
                              const TaskName &task, Rank rank, const ModelVersion &target,
                              WallTime now);
 
+// Returns whether the account may call the service.
+[[nodiscard]] bool admits(const ServiceSpec &service, const ClientAccountId &account);
+
 // Returns whether a call of the service may be executed at most once.
 [[nodiscard]] bool isNonRepeatable(const ServiceSpec &service, std::string_view method,
                                    std::string_view path);
--- a/core/requests/request_machine_impl.h
+++ b/core/requests/request_machine_impl.h
@@ -30,9 +30,9 @@
             return refuse(plan.error());
         version_ = plan.value().front();
     } else {
-        const ServiceSpec *service = findService(context.config, request_.service);
-        if (!service)
-            return refuse({CoreError::UnknownModel, "service: " + request_.service.value()});
+        const Result<void> callable = checkServiceCallable(context, request_);
+        if (!callable)
+            return refuse(callable.error());
         if (!isRepeatable(context) && request_.idempotencyKey.empty())
             return refuse({CoreError::InvalidArgument, "Idempotency-Key: required for this call"});
         if (!context.directory.byService.contains(request_.service))
@@ -166,13 +166,10 @@
 template<RoutingPolicy Policy>
 auto RequestMachine<Policy>::dispatch(const RoutingContext &context) -> Actions
 {
-    if (isModelCall()) {
-        const auto allowed = checkDispatchable(context, request_, version_);
-        if (!allowed)
-            return refuse(allowed.error());
-    } else if (!context.leaseValid) {
-        return refuse({CoreError::LeaseExpired, "the configuration lease has run out"});
-    }
+    const Result<void> allowed = isModelCall() ? checkDispatchable(context, request_, version_)
+                                               : checkServiceCallable(context, request_);
+    if (!allowed)
+        return refuse(allowed.error());
     const ClaimStart claim{.at = ClockReading{claimedAtMonotonic_, claimedAt_}};
     if (claimed_ && !isWithinDispatchWindow(claim, ClockReading{context.now, context.wallNow}))
         return refuse({CoreError::DeadlineExceeded, "the claim took too long to be recorded"});
--- a/core/requests/routing_policy.cpp
+++ b/core/requests/routing_policy.cpp
@@ -22,4 +22,18 @@
     return outcome::success();
 }
 
+Result<void> checkServiceCallable(const RoutingContext &context, const CallerRequest &request)
+{
+    if (!context.leaseValid)
+        return CoreFailure{CoreError::LeaseExpired, "the configuration lease has run out"};
+    if (!findAccount(context.config, request.account))
+        return CoreFailure{CoreError::UnknownAccount, request.account.value()};
+    const ServiceSpec *service = findService(context.config, request.service);
+    if (!service)
+        return CoreFailure{CoreError::UnknownModel, "service: " + request.service.value()};
+    if (!admits(*service, request.account))
+        return CoreFailure{CoreError::NotAllowed, "service: " + request.service.value()};
+    return outcome::success();
+}
+
 } // namespace fireflyroute::core
--- a/core/requests/routing_policy.h
+++ b/core/requests/routing_policy.h
@@ -67,6 +67,10 @@
                                              const CallerRequest &request,
                                              const ModelVersion &version);
 
+// Whether the account of a service call may currently call its service.
+[[nodiscard]] Result<void> checkServiceCallable(const RoutingContext &context,
+                                                const CallerRequest &request);
+
 } // namespace fireflyroute::core
 
 #endif
--- a/core/requests/testing/request_machine_test.cpp
+++ b/core/requests/testing/request_machine_test.cpp
@@ -134,6 +134,39 @@
     BOOST_TEST((request.last<FailAnswer>().ran == Executed::No));
 }
 
+// Guards against services that serve accounts which their list of allowed accounts does not name.
+BOOST_AUTO_TEST_CASE(service_serves_the_accounts_of_its_list_only)
+{
+    for (const char *listed : {"a", "other"}) {
+        FakeRequest request(nonRepeatableCall());
+        request.config().services[0].allowedAccounts = {ClientAccountId(listed)};
+        request.start();
+        const bool isAllowed = listed == std::string("a");
+        BOOST_TEST(request.has<PutRecord>() == isAllowed);
+        BOOST_TEST(request.has<FailAnswer>() != isAllowed);
+    }
+}
+
+// Guards against calls that are dispatched after their account lost the permission or was removed.
+BOOST_AUTO_TEST_CASE(lost_permission_between_admission_and_dispatch_stops_a_service_call)
+{
+    for (const bool isRemoved : {false, true}) {
+        FakeRequest request(nonRepeatableCall());
+        request.start();
+        const LedgerOperation claim = request.last<PutRecord>().operation;
+        if (isRemoved)
+            request.config().accounts.clear();
+        else
+            request.config().services[0].allowedAccounts = {ClientAccountId("other")};
+        request.step(LedgerReplied{{LedgerStatus::Created, claim.value}});
+        BOOST_TEST(!request.has<StartAttempt>());
+        const auto released = std::get<ClaimValue>(request.last<PutRecord>().operation.value);
+        BOOST_TEST((released.state == ClaimState::Released));
+        request.step(LedgerReplied{{LedgerStatus::Replaced, std::nullopt}});
+        BOOST_TEST((request.last<FailAnswer>().ran == Executed::No));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unsent_non_repeatable_call_releases_its_claim)
 {
     FakeRequest request(nonRepeatableCall(), 1);
