--- a/app/site_control_operator.cpp
+++ b/app/site_control_operator.cpp
@@ -60,16 +60,16 @@
         callback(answer);
         return;
     }
-    const Peer *older = version == 0 ? findPeerWithoutVersionZero() : nullptr;
-    if (driver_->isLeader() && older) {
+    const Peer *earlierBuild = version == 0 ? findPeerWithoutVersionZero() : nullptr;
+    if (driver_->isLeader() && earlierBuild) {
         LogLine(log_, LogKind::Config)
                 .add("order", "config 0")
                 .add("outcome", "not_held_by_all")
-                .add("peer", older->vm.value());
+                .add("peer", earlierBuild->vm.value());
         core::ControlAnswer answer;
         answer.problem = fmt::format("control VM {} is of a build that takes version 0 for no "
                                      "configuration",
-                                     older->vm.value());
+                                     earlierBuild->vm.value());
         callback(answer);
         return;
     }
