Give the new process tests networks that no other test uses

Two of them ran beside tests with the same addresses: account_list_test beside deadly_request_test, and first_config_test beside planned_stop_test. ctest runs four tests at a time.

--- a/app/testing/account_list_test.py
+++ b/app/testing/account_list_test.py
@@ -32,7 +32,7 @@
 
 class AccountListTest(unittest.TestCase):
     def setUp(self):
-        self.site = Site(55, controls=5, entries=2)
+        self.site = Site(221, controls=5, entries=2)
         self.site.__enter__()
         self.addCleanup(self.site.__exit__)
         self.version = 0
--- a/app/testing/first_config_test.py
+++ b/app/testing/first_config_test.py
@@ -17,7 +17,7 @@
 
 class FirstConfigTest(unittest.TestCase):
     def setUp(self):
-        self.site = Site(56, controls=5, entries=2)
+        self.site = Site(222, controls=5, entries=2)
         self.site.__enter__()
         self.addCleanup(self.site.__exit__)
 
@@ -107,7 +107,7 @@
     def test_version_zero_is_not_acknowledged_beside_a_control_vm_that_would_lose_it(self):
         self.site.worker("i-1", "ledger")
         self.order("Start")  # a leader is there
-        links = [EntryLink(ip, "127.56.1.9", is_entry=False) for ip in self.site.control]
+        links = [EntryLink(ip, "127.222.1.9", is_entry=False) for ip in self.site.control]
         body = self.site.configuration(0)
         for _ in range(3):
             statuses = [call("POST", ip + ":8229", "/fireflyroute/Config.Replace", body)[0]
