--- a/core/site/state_feed.h
+++ b/core/site/state_feed.h
@@ -1,5 +1,6 @@
-// Decides what one control VM announces to one entry of the state of the site, and answers the
-// entry's requests. The entry fetches the state itself; see core/site/state_fetch.h.
+// Decides what one control VM announces to one entry of the state of the site, answers the entry's
+// requests, and decides which answers the entry takes. The entry fetches the state itself; see
+// core/site/state_fetch.h.
 //
 //   StateFeed feed(inSameRegion);
 //   if (auto announcement = feed.onChange(state, now)) link.send(*announcement);
--- a/core/site/testing/state_feed_test.cpp
+++ b/core/site/testing/state_feed_test.cpp
@@ -1,4 +1,5 @@
-// Tests what a control VM announces to an entry, and its answers to requests for the state.
+// Tests what a control VM announces to an entry, its answers to requests for the state, and which
+// of them the entry takes.
 
 #define BOOST_TEST_MODULE state_feed
 #include "core/site/state_feed.h"
