--- a/app/testing/account_list_test.py
+++ b/app/testing/account_list_test.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "testing"))
 
-from platform_stand_in import Site, call, wait_until  # noqa: E402
+from platform_stand_in import Site, wait_until  # noqa: E402
 
 # Control VMs write a snapshot after this many log entries.
 SNAPSHOT_ENTRIES = 100
@@ -47,8 +47,8 @@
         self.body, (status, text) = self.site.configure(self.version, change=change)
         self.assertEqual(status, 200, text)
 
-    def await_version(self, entries=(0, 1)):
-        for entry in entries:
+    def await_version(self):
+        for entry in range(2):
             wait_until(lambda entry=entry: self.site.is_ready(entry), "the entry is ready")
             wait_until(lambda entry=entry: self.site.entry_metric("site_config_version", entry)
                        == self.version, "the entry applies the configuration")
--- a/core/site/testing/state_feed_test.cpp
+++ b/core/site/testing/state_feed_test.cpp
@@ -91,6 +91,7 @@
     BOOST_TEST(StateFeed::answer({1, 0}, state(2, 0)).value().documentOmitted);
 }
 
+// Guards against entries that go back to an older state, or lose the document that was omitted.
 BOOST_AUTO_TEST_CASE(entry_takes_newer_states_only_and_keeps_an_omitted_document)
 {
     SiteData data = state(3, 0);
@@ -108,6 +109,7 @@
                 == empty));
 }
 
+// Guards against entries that take a version for held without its bytes.
 BOOST_AUTO_TEST_CASE(update_without_a_document_that_the_entry_lacks_is_not_taken)
 {
     const StateUpdate update = StateFeed::answer({1, 7}, state(2, 7)).value();
